--- /dev/null
+++ b/src/bookkeeping/ranges.cpp
@@ -0,0 +1,85 @@
+#include "bookkeeping/ranges.hpp"
+
+#include <charconv>
+
+namespace mothslip {
+
+void RangeSet::insert(int first, int last) {
+  if (first >= last) return;
+  auto it = ranges_.upper_bound(first);
+  if (it != ranges_.begin()) {
+    const auto before = std::prev(it);
+    if (before->second >= first) it = before;
+  }
+  while (it != ranges_.end() && it->first <= last) {
+    first = std::min(first, it->first);
+    last = std::max(last, it->second);
+    size_ -= it->second - it->first;
+    it = ranges_.erase(it);
+  }
+  ranges_.emplace(first, last);
+  size_ += last - first;
+}
+
+void RangeSet::erase(int index) {
+  auto it = ranges_.upper_bound(index);
+  if (it == ranges_.begin()) return;
+  it = std::prev(it);
+  const auto [first, last] = *it;
+  if (index >= last) return;
+  ranges_.erase(it);
+  if (first < index) ranges_.emplace(first, index);
+  if (index + 1 < last) ranges_.emplace(index + 1, last);
+  size_--;
+}
+
+bool RangeSet::contains(int index) const {
+  const auto it = ranges_.upper_bound(index);
+  return it != ranges_.begin() && index < std::prev(it)->second;
+}
+
+std::optional<int> RangeSet::first() const {
+  if (ranges_.empty()) return std::nullopt;
+  return ranges_.begin()->first;
+}
+
+std::string RangeSet::to_text() const {
+  std::string out;
+  int at = 0;
+  for (const auto& [first, last] : ranges_) {
+    if (!out.empty()) out += ',';
+    out += std::to_string(first - at);
+    if (last - first > 1) out += '+' + std::to_string(last - first);
+    at = last;
+  }
+  return out;
+}
+
+std::optional<RangeSet> RangeSet::from_text(const std::string& text, int limit) {
+  RangeSet out;
+  const char* at = text.data();
+  const char* const end = text.data() + text.size();
+  int position = 0;
+  while (at < end) {
+    int gap = 0;
+    int length = 1;
+    auto parsed = std::from_chars(at, end, gap);
+    if (parsed.ec != std::errc()) return std::nullopt;
+    at = parsed.ptr;
+    if (at < end && *at == '+') {
+      parsed = std::from_chars(at + 1, end, length);
+      if (parsed.ec != std::errc()) return std::nullopt;
+      at = parsed.ptr;
+    }
+    if (gap < 0 || length < 1 || gap > limit - position || length > limit - position - gap)
+      return std::nullopt;
+    out.insert(position + gap, position + gap + length);
+    position += gap + length;
+    if (at == end) break;
+    if (*at != ',' || at + 1 == end) return std::nullopt;
+    at++;
+  }
+  return out;
+}
+
+}  // namespace mothslip
--- /dev/null
+++ b/src/bookkeeping/records.cpp
@@ -0,0 +1,59 @@
+#include "bookkeeping/records.hpp"
+
+#include <map>
+
+namespace mothslip {
+
+Json HeadRecord::to_json() const {
+  Json out = {{"job", job_to_json(spec)}, {"at", submitted}};
+  if (aborted) out["phase"] = "aborted";
+  return out;
+}
+
+std::optional<HeadRecord> HeadRecord::from_json(const Json& value) {
+  if (!value.is_object() || !value.contains("job")) return std::nullopt;
+  std::string why;
+  auto spec = parse_job(value["job"], why);
+  if (!spec) return std::nullopt;
+  HeadRecord out;
+  out.spec = std::move(*spec);
+  out.submitted = value.value("at", 0.0);
+  out.aborted = value.value("phase", "") == "aborted";
+  return out;
+}
+
+Json HostRecord::to_json() const {
+  std::map<std::string, Json> by_job;
+  for (const PlacementRecord& item : placements) {
+    Json& list = by_job.try_emplace(item.ref, Json::array()).first->second;
+    list.push_back(item.index);
+    list.push_back(item.try_no);
+  }
+  Json jobs = Json::object();
+  for (auto& [ref, list] : by_job) jobs[ref] = std::move(list);
+  return {{"a", address}, {"f", flavour}, {"z", hall}, {"s", loaner}, {"t", tenure}, {"p", std::move(jobs)}};
+}
+
+std::optional<HostRecord> HostRecord::from_json(const Json& value) {
+  if (!value.is_object()) return std::nullopt;
+  HostRecord out;
+  try {
+    out.address = value.at("a").get<std::string>();
+    out.flavour = value.at("f").get<std::string>();
+    out.hall = value.at("z").get<std::string>();
+    out.loaner = value.at("s").get<bool>();
+    out.tenure = value.at("t").get<std::uint64_t>();
+    for (const auto& [ref, list] : value.at("p").items()) {
+      for (std::size_t i = 0; i + 1 < list.size(); i += 2) {
+        out.placements.push_back({ref, list[i].get<int>(), list[i + 1].get<std::uint64_t>()});
+      }
+    }
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+  return out;
+}
+
+Json ending_json(const char* phase, int pieces) { return {{"phase", phase}, {"pieces", pieces}}; }
+
+}  // namespace mothslip
--- /dev/null
+++ b/src/bookkeeping/records.hpp
@@ -0,0 +1,69 @@
+// What the state service holds, and under which keys.
+//
+//   meta                     {"parts":N}, written once
+//   types                    the machine types last heard from the cloud
+//   parts/P                  owner of part P, under its lease; the put's revision is the part's baton
+//   j/P/REF                  head of an open job: its description; changes only on cancel, gone when it ended
+//   d/P/REF                  progress of an open job: the done indices as ranges
+//   e/P/REF                  how a job ended; kept for good
+//   h/P/HOST                 a machine's placements
+//   rentals/NAME             a rental that may be on its way
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "bookkeeping/ranges.hpp"
+#include "protocol/messages.hpp"
+
+namespace mothslip {
+
+namespace keys {
+inline const std::string kMeta = "meta";
+inline const std::string kTypes = "types";
+inline const std::string kParts = "parts/";
+inline const std::string kRentals = "rentals/";
+inline std::string part(int p) { return kParts + std::to_string(p); }
+inline std::string heads(int p) { return "j/" + std::to_string(p) + "/"; }
+inline std::string progresses(int p) { return "d/" + std::to_string(p) + "/"; }
+inline std::string endings(int p) { return "e/" + std::to_string(p) + "/"; }
+inline std::string hosts(int p) { return "h/" + std::to_string(p) + "/"; }
+inline std::string head(int p, const std::string& ref) { return heads(p) + ref; }
+inline std::string progress(int p, const std::string& ref) { return progresses(p) + ref; }
+inline std::string ending(int p, const std::string& ref) { return endings(p) + ref; }
+inline std::string host(int p, const std::string& name) { return hosts(p) + name; }
+inline std::string rental(const std::string& name) { return kRentals + name; }
+}  // namespace keys
+
+struct HeadRecord {
+  JobSpec spec;
+  double submitted = 0;  // time of day at the accepting node
+  bool aborted = false;  // cancelled, some tasks may still have to be stopped
+
+  [[nodiscard]] Json to_json() const;
+  static std::optional<HeadRecord> from_json(const Json& value);
+};
+
+struct PlacementRecord {
+  std::string ref;
+  int index = 0;
+  std::uint64_t try_no = 0;
+};
+
+struct HostRecord {
+  std::string address;
+  std::string flavour;
+  std::string hall;
+  bool loaner = false;
+  std::uint64_t tenure = 0;
+  std::vector<PlacementRecord> placements;
+
+  // Placements are grouped by job: a machine full of small tasks must stay within the value size.
+  [[nodiscard]] Json to_json() const;
+  static std::optional<HostRecord> from_json(const Json& value);
+};
+
+Json ending_json(const char* phase, int pieces);
+
+}  // namespace mothslip
--- /dev/null
+++ b/src/coordination/fleet.cpp
@@ -0,0 +1,474 @@
+#include "coordination/fleet.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace mothslip {
+
+namespace {
+constexpr double kStep = 1.0;
+constexpr double kTypesEvery = 60.0;
+constexpr double kRetry = 0.5;
+constexpr double kKeepRental = 60.0;
+constexpr double kSmooth = 90.0;   // seconds over which use is averaged
+constexpr double kBootLate = 1.7;  // times boot_s: no longer counted on
+constexpr double kBootLost = 3.0;  // times boot_s: returned
+constexpr double kSilentExtra =
+    8.0;  // beyond the worker's lease: the tasks are gone, and so may be the machine
+constexpr int kRentCalls = 3;
+}  // namespace
+
+Fleet::Fleet(Context context) : ctx_(std::move(context)) {}
+
+void Fleet::start() { load(); }
+
+void Fleet::load() {
+  ctx_.state->list(Lane::kRest, keys::kRentals,
+                   alive([this](Outcome outcome, std::vector<StateItem> items, std::uint64_t) {
+                     if (outcome != Outcome::kOk) {
+                       ctx_.env->after(kRetry, alive([this] { load(); }));
+                       return;
+                     }
+                     for (const StateItem& item : items) {
+                       const std::string name = item.key.substr(keys::kRentals.size());
+                       Rental rental;
+                       rental.request = {name, item.data.value("flavour", ""), item.data.value("hall", ""),
+                                         item.data.value("loaner", false), item.data.value("how_many", 1)};
+                       rental.at = ctx_.env->now();
+                       rentals_.emplace(name, rental);
+                       call_rental(name);
+                     }
+                     loaded_ = true;
+                     last_step_ = ctx_.env->now();
+                     next_types_ = ctx_.env->now() + ctx_.env->uniform(5, 15);
+                     step();
+                   }));
+}
+
+void Fleet::step() {
+  const double now = ctx_.env->now();
+  if (ctx_.part->active() && ctx_.lease_valid()) {
+    double used = 0;
+    for (const auto& [ref, job] : ctx_.part->jobs()) used += job->placed * job->demand[0];
+    const double weight = std::min(1.0, (now - last_step_) / kSmooth);
+    used_cores_ += (used - used_cores_) * weight;
+    note_reporting();
+    judge();
+    send_returns();
+    plan();
+    for (auto it = rentals_.begin(); it != rentals_.end();) {
+      const std::string name = it->first;
+      const bool old = it->second.answered && now - it->second.at > kKeepRental;
+      ++it;
+      if (old) drop_rental(name);
+    }
+    if (!listing_ && now >= next_list_ && ctx_.cloud->ready()) {
+      list_seen_.clear();
+      poll_list("");
+    }
+    if (now >= next_types_ && ctx_.cloud->ready(1)) refresh_types();
+  }
+  last_step_ = now;
+  ctx_.env->after(kStep, alive([this] { step(); }));
+}
+
+void Fleet::refresh_types() {
+  next_types_ = ctx_.env->now() + kTypesEvery;
+  ctx_.cloud->machine_types(alive([this](const CloudReply& reply) {
+    if (reply.status != 200) return;
+    auto types = MachineTypes::parse(reply.body);
+    if (types) ctx_.new_types(std::move(*types));
+  }));
+}
+
+// ---------------------------------------------------------------- what there is
+
+void Fleet::poll_list(const std::string& from) {
+  listing_ = true;
+  ctx_.cloud->list(from, alive([this](const CloudReply& reply) {
+                     if (reply.status != 200 || !reply.body.is_object()) {
+                       listing_ = false;
+                       next_list_ = ctx_.env->now() + 3;
+                       return;
+                     }
+                     take_list_page(reply.body);
+                     const auto hosts = reply.body.find("hosts");
+                     if (reply.body.value("more", false) && hosts != reply.body.end() && !hosts->empty()) {
+                       poll_list(hosts->back().value("ref", ""));
+                       return;
+                     }
+                     listing_ = false;
+                     next_list_ =
+                         ctx_.env->now() + std::max(2.0, 4 / std::max(0.1, ctx_.settings->cloud_rps));
+                     end_list();
+                   }));
+}
+
+void Fleet::take_list_page(const Json& body) {
+  const auto hosts = body.find("hosts");
+  if (hosts == body.end() || !hosts->is_array()) return;
+  for (const Json& item : *hosts) {
+    const std::string ref = item.value("ref", "");
+    const int type = ctx_.types->find(item.value("flavour", ""));
+    if (ref.empty() || type < 0) continue;
+    list_seen_.insert(ref);
+    auto [it, fresh] = rented_.try_emplace(ref);
+    Rented& rented = it->second;
+    if (fresh) {
+      rented.type = type;
+      rented.hall = ctx_.halls->intern(item.value("hall", ""));
+      rented.spot = item.value("loaner", false);
+      rented.rented_at = ctx_.env->now() - item.value("age_s", 0.0);
+    }
+    rented.address = item.value("address", "");
+    rented.listed = true;
+    rented.failed = item.value("phase", "") == "failed";
+  }
+}
+
+void Fleet::end_list() {
+  list_complete_ = true;
+  for (auto& [ref, rented] : rented_) {
+    if (list_seen_.count(ref) > 0) {
+      rented.missing = 0;
+    } else {
+      rented.missing++;
+    }
+  }
+}
+
+const Machine* Fleet::reporting(const std::string& host) const {
+  const auto& machines = ctx_.part->machines();
+  const auto it = machines.find(host);
+  return it == machines.end() ? nullptr : it->second.get();
+}
+
+// Machines that nobody here remembers asking for report like any other; they are used, or returned.
+void Fleet::note_reporting() {
+  for (const auto& [name, machine] : ctx_.part->machines()) {
+    if (machine->type < 0) continue;
+    auto [it, fresh] = rented_.try_emplace(name);
+    if (!fresh) continue;
+    it->second.type = machine->type;
+    it->second.hall = machine->hall;
+    it->second.spot = machine->record.loaner;
+    it->second.address = machine->record.address;
+    it->second.rented_at = ctx_.env->now();
+  }
+}
+
+void Fleet::start_return(const std::string& host, Rented& rented, const std::string& why) {
+  if (rented.returning) return;
+  rented.returning = true;
+  rented.why = why;
+  ctx_.part->set_draining(host, true);
+  spdlog::info("{} to be returned: {}", host, why);
+}
+
+void Fleet::judge() {
+  const double now = ctx_.env->now();
+  const double lease = ctx_.settings->lease_s;
+  int heard = 0;
+  int silent = 0;
+  for (const auto& [name, machine] : ctx_.part->machines()) {
+    heard++;
+    if (now - machine->last_heard > lease) silent++;
+  }
+  // When most are silent, the fault is more likely on our side of the network.
+  const double patience = heard >= 4 && silent * 2 > heard ? 3 * lease : lease + kSilentExtra;
+  const double lag = ctx_.settings->list_lag_s;
+  for (auto it = rented_.begin(); it != rented_.end();) {
+    const std::string& name = it->first;
+    Rented& rented = it->second;
+    const Machine* machine = reporting(name);
+    const double age = now - rented.rented_at;
+    if (machine == nullptr && rented.missing >= 2 && age > 3 * lag + 5 && list_complete_) {
+      // Never heard here, and not listed any more: taken or deleted.
+      it = rented_.erase(it);
+      continue;
+    }
+    if (rented.returned && machine == nullptr) {
+      it = rented_.erase(it);
+      continue;
+    }
+    if (!rented.returning) {
+      if (rented.failed) {
+        start_return(name, rented, "failed");
+      } else if (machine == nullptr) {
+        const double boot = ctx_.types->at(rented.type).boot_s;
+        if (age > kBootLost * boot + 10) start_return(name, rented, "never came up");
+      } else if (machine->sick) {
+        start_return(name, rented, "sick");
+      } else if (now - machine->last_heard > patience) {
+        start_return(name, rented, "silent");
+      }
+    }
+    ++it;
+  }
+}
+
+void Fleet::send_returns() {
+  if (return_call_ || !ctx_.cloud->ready()) return;
+  std::vector<std::string> hosts;
+  const double now = ctx_.env->now();
+  for (auto& [name, rented] : rented_) {
+    if (!rented.returning || rented.returned || hosts.size() >= 100) continue;
+    const Machine* machine = reporting(name);
+    // Drained first, unless nothing on it can be saved by waiting.
+    const bool lost =
+        machine == nullptr || rented.failed || now - machine->last_heard > ctx_.settings->lease_s;
+    const bool empty =
+        machine != nullptr && machine->placements.empty() && !machine->inflight && !machine->dirty;
+    if (lost || empty) hosts.push_back(name);
+  }
+  if (hosts.empty()) return;
+  return_call_ = true;
+  ctx_.cloud->give_back(hosts, alive([this, hosts](const CloudReply& reply) {
+                          return_call_ = false;
+                          // Anything but a 200 may or may not have worked: the request is repeated until it
+                          // is confirmed.
+                          if (reply.status != 200) return;
+                          for (const std::string& host : hosts) {
+                            const auto it = rented_.find(host);
+                            if (it != rented_.end()) {
+                              it->second.returned = true;
+                              spdlog::info("{} returned", host);
+                            }
+                            ctx_.part->machine_gone(host);
+                          }
+                        }));
+}
+
+// ---------------------------------------------------------------- what is wanted
+
+std::vector<FleetDemand> Fleet::demands() const {
+  std::vector<FleetDemand> out;
+  std::vector<const Job*> jobs;
+  for (const auto& [ref, job] : ctx_.part->jobs()) {
+    if (!job->over() && (!job->waiting.empty() || !job->backoff.empty())) jobs.push_back(job.get());
+  }
+  std::sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
+    if (a->spec().urgency != b->spec().urgency) return a->spec().urgency > b->spec().urgency;
+    return a->head.submitted < b->head.submitted;
+  });
+  std::map<int, double> claimed;  // by team, cores asked for by jobs before
+  const double wall = ctx_.env->wall();
+  for (const Job* job : jobs) {
+    const JobSpec& spec = job->spec();
+    int count = job->waiting.size() + static_cast<int>(job->backoff.size());
+    int within = ctx_.part->teams().tasks_within_limit(job->team, job->demand);
+    if (job->demand[0] > 0) within -= static_cast<int>(claimed[job->team] / job->demand[0]);
+    count = std::min(count, within);
+    if (count <= 0) continue;
+    claimed[job->team] += count * job->demand[0];
+    FleetDemand demand;
+    demand.demand = job->demand;
+    demand.count = count;
+    demand.rank = static_cast<int>(spec.urgency);
+    demand.guess_s = spec.guess_s;
+    demand.pull_gb = spec.pull_gb;
+    if (spec.due_s) demand.time_left_s = job->head.submitted + *spec.due_s - wall;
+    demand.prompt = !spec.due_s.has_value() || spec.urgency >= Urgency::kUrgent;
+    demand.spot_allowed = spec.loaner;
+    if (spec.flavours) {
+      demand.types.assign(ctx_.types->all().size(), 0);
+      for (const std::string& flavour : *spec.flavours) {
+        const int type = ctx_.types->find(flavour);
+        if (type >= 0) demand.types[static_cast<std::size_t>(type)] = 1;
+      }
+    }
+    if (spec.hall) demand.hall = ctx_.halls->intern(*spec.hall);
+    out.push_back(std::move(demand));
+  }
+  return out;
+}
+
+void Fleet::plan() {
+  if (rent_calls_ >= kRentCalls) return;
+  const double now = ctx_.env->now();
+  const double lease = ctx_.settings->lease_s;
+  const Tuning& tuning = ctx_.settings->tuning;
+
+  std::vector<FleetType> types;
+  std::vector<FleetMarket> markets;
+  for (std::size_t t = 0; t < ctx_.types->all().size(); t++) {
+    const MachineType& type = ctx_.types->all()[t];
+    FleetType out;
+    out.capacity = {type.cores, type.memory_gb, type.accelerators};
+    out.hourly = type.hourly;
+    out.spot_price = type.spot_price;
+    out.boot_s = type.boot_s;
+    out.pull_gb_per_s = type.pull_gb_per_s;
+    for (const std::string& name : type.halls) {
+      const int hall = ctx_.halls->intern(name);
+      out.halls.push_back(hall);
+      for (const bool spot : {true, false}) {
+        FleetMarket market;
+        market.type = static_cast<int>(t);
+        market.hall = hall;
+        market.spot = spot;
+        market.refused = now < markets_[{market.type, hall, spot}].refused_until;
+        markets.push_back(market);
+      }
+    }
+    types.push_back(std::move(out));
+  }
+
+  std::vector<FleetMachine> machines;
+  std::vector<std::string> names;
+  for (const auto& [name, rented] : rented_) {
+    const Machine* machine = reporting(name);
+    FleetMachine out;
+    out.type = rented.type;
+    out.hall = rented.hall;
+    out.spot = rented.spot;
+    if (machine != nullptr) {
+      out.up = true;
+      out.room = machine->room;
+      out.usable = machine->type >= 0 && machine->welcome() && !rented.returning &&
+                   now - machine->last_heard < lease / 2;
+    } else {
+      out.room = types[static_cast<std::size_t>(rented.type)].capacity;
+      out.usable = !rented.returning && !rented.failed &&
+                   now - rented.rented_at < kBootLate * types[static_cast<std::size_t>(rented.type)].boot_s;
+    }
+    for (FleetMarket& market : markets) {
+      if (market.type == out.type && market.hall == out.hall && market.spot == out.spot && !rented.returned) {
+        market.rented++;
+      }
+    }
+    machines.push_back(out);
+    names.push_back(name);
+  }
+
+  std::vector<FleetDemand> wanted = demands();
+  FleetDemand headroom;
+  headroom.demand = {4, 8, 0};
+  headroom.count = static_cast<int>(std::ceil(tuning.headroom * used_cores_ / headroom.demand[0]));
+  headroom.rank = -1;
+  headroom.prompt = true;
+  headroom.spot_only = true;
+  wanted.push_back(headroom);
+
+  const FleetPlan result = plan_fleet(types, markets, machines, wanted, FleetLimits{});
+
+  // Nothing is rented before a first look at what there is, unless nothing can be there.
+  if (list_complete_) {
+    for (const FleetPlan::Rent& each : result.rents) {
+      if (rent_calls_ >= kRentCalls || !ctx_.cloud->ready()) break;
+      rent(each);
+    }
+  }
+
+  // Idle machines that the plan does not count on go back, the dearest first, one a step and kind.
+  double best_price = -1;
+  std::size_t best = names.size();
+  for (std::size_t m = 0; m < names.size(); m++) {
+    const Machine* machine = reporting(names[m]);
+    if (machine == nullptr || !machines[m].usable || result.needed_rooms[m] > 0) continue;
+    if (!machine->placements.empty() || machine->inflight || machine->dirty) continue;
+    if (now - machine->busy_at < tuning.idle_return_s) continue;
+    const FleetType& type = types[static_cast<std::size_t>(machines[m].type)];
+    const double price = (machines[m].spot ? type.spot_price : type.hourly) / std::max(1.0, type.capacity[0]);
+    if (price > best_price) {
+      best_price = price;
+      best = m;
+    }
+  }
+  if (best < names.size()) start_return(names[best], rented_[names[best]], "idle");
+}
+
+// ---------------------------------------------------------------- renting
+
+void Fleet::rent(const FleetPlan::Rent& wanted) {
+  const std::string name = "r-" + std::to_string(ctx_.part->baton()) + "-" + std::to_string(++next_name_);
+  Rental rental;
+  rental.request = {name, ctx_.types->at(wanted.type).name, ctx_.halls->name(wanted.hall), wanted.spot,
+                    std::min(50, wanted.count)};
+  rental.at = ctx_.env->now();
+  rentals_.emplace(name, rental);
+  rent_calls_++;
+  record_rental(name);
+}
+
+void Fleet::record_rental(const std::string& name) {
+  const RentalRequest& request = rentals_.at(name).request;
+  Transaction txn;
+  txn.guard(keys::part(ctx_.part->id()), ctx_.part->baton());
+  txn.put(keys::rental(name), {{"flavour", request.flavour},
+                               {"hall", request.hall},
+                               {"loaner", request.loaner},
+                               {"how_many", request.how_many}});
+  ctx_.state->commit(Lane::kLaunch, txn, alive([this, name](const StateReply& reply) {
+                       if (reply.ok()) {
+                         call_rental(name);
+                         return;
+                       }
+                       rent_calls_--;
+                       // Not executed, or not known to be: in both cases nothing was asked of the cloud under
+                       // this name, and the name is not used again. A record that turns up later is repeated
+                       // by a new owner and brings a machine.
+                       rentals_.erase(name);
+                     }));
+}
+
+void Fleet::call_rental(const std::string& name) {
+  const auto it = rentals_.find(name);
+  if (it == rentals_.end()) return;
+  const RentalRequest request = it->second.request;
+  ctx_.cloud->rent(
+      request, alive([this, name, request](const CloudReply& reply) {
+        const auto found = rentals_.find(name);
+        if (found == rentals_.end()) return;
+        const int type = ctx_.types->find(request.flavour);
+        const int hall = ctx_.halls->intern(request.hall);
+        Market& market = markets_[{type, hall, request.loaner}];
+        const double now = ctx_.env->now();
+        if (reply.status == 200 && reply.body.is_object()) {
+          int count = 0;
+          const auto hosts = reply.body.find("hosts");
+          if (hosts != reply.body.end() && hosts->is_array()) {
+            for (const Json& host : *hosts) {
+              if (!host.is_string()) continue;
+              count++;
+              auto [place, fresh] = rented_.try_emplace(host.get<std::string>());
+              if (!fresh) continue;
+              place->second.type = type;
+              place->second.hall = hall;
+              place->second.spot = request.loaner;
+              place->second.rented_at = found->second.at;
+            }
+          }
+          spdlog::info("rented {} of {} {} in {}{} ({})", count, request.how_many, request.flavour,
+                       request.hall, request.loaner ? ", spot" : "", name);
+          market.backoff = count < request.how_many ? 10 : 0;
+          market.refused_until = count < request.how_many ? now + market.backoff : 0;
+          found->second.answered = true;
+          rent_calls_ = std::max(0, rent_calls_ - 1);
+          return;
+        }
+        const bool no_capacity =
+            reply.status == 503 && reply.body.is_object() && reply.body.value("error", "") == "no capacity";
+        if (no_capacity || reply.status == 400) {
+          market.backoff = std::clamp(market.backoff * 1.5, 8.0, 40.0);
+          market.refused_until = now + market.backoff;
+          rent_calls_ = std::max(0, rent_calls_ - 1);
+          drop_rental(name);
+          return;
+        }
+        // Trouble, too many calls or silence: the same name again, until the answer is certain.
+        ctx_.env->after(reply.status == 0 ? 1.0 : 2.0, alive([this, name] { call_rental(name); }));
+      }));
+}
+
+void Fleet::drop_rental(const std::string& name) {
+  rentals_.erase(name);
+  Transaction txn;
+  txn.guard(keys::part(ctx_.part->id()), ctx_.part->baton());
+  txn.remove(keys::rental(name));
+  ctx_.state->commit(Lane::kRest, txn, [](const StateReply&) {});
+}
+
+}  // namespace mothslip
--- /dev/null
+++ b/src/coordination/fleet.hpp
@@ -0,0 +1,104 @@
+// Rents and returns machines. One node does: the owner of part 0, and every write guards that ownership.
+//
+// A rental's name is made of the baton and a counter and is recorded before the call, so that it is never
+// used for another; a new owner repeats the recorded calls to learn what they brought.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "coordination/cloud_client.hpp"
+#include "coordination/part.hpp"
+#include "scheduling/sizing.hpp"
+
+namespace mothslip {
+
+class Fleet {
+ public:
+  struct Context {
+    Env* env = nullptr;
+    StateClient* state = nullptr;
+    CloudClient* cloud = nullptr;
+    const Settings* settings = nullptr;
+    const MachineTypes* types = nullptr;
+    NameTable* halls = nullptr;
+    Part* part = nullptr;
+    std::function<bool()> lease_valid;
+    std::function<void(MachineTypes)> new_types;
+  };
+  explicit Fleet(Context context);
+
+  void start();
+
+ private:
+  struct Rented {
+    std::string address;
+    int type = 0;
+    int hall = 0;
+    bool spot = false;
+    double rented_at = 0;
+    bool listed = false;
+    int missing = 0;      // lists in a row without it
+    bool failed = false;  // the cloud says so
+    bool returning = false;
+    bool returned = false;
+    std::string why;
+  };
+  struct Market {
+    double refused_until = 0;
+    double backoff = 0;
+  };
+  struct Rental {
+    RentalRequest request;
+    bool answered = false;
+    double at = 0;
+  };
+  using MarketKey = std::tuple<int, int, bool>;
+
+  void load();
+  void step();
+  void refresh_types();
+  void poll_list(const std::string& from);
+  void take_list_page(const Json& body);
+  void end_list();
+  void note_reporting();
+  void judge();
+  void plan();
+  void rent(const FleetPlan::Rent& rent);
+  void record_rental(const std::string& name);
+  void call_rental(const std::string& name);
+  void drop_rental(const std::string& name);
+  void send_returns();
+  void start_return(const std::string& host, Rented& rented, const std::string& why);
+  [[nodiscard]] const Machine* reporting(const std::string& host) const;
+  [[nodiscard]] std::vector<FleetDemand> demands() const;
+  template <typename F>
+  auto alive(F f) {
+    return [token = std::weak_ptr<bool>(alive_), f = std::move(f)](auto&&... args) {
+      if (!token.expired()) f(std::forward<decltype(args)>(args)...);
+    };
+  }
+
+  Context ctx_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  bool loaded_ = false;
+  int next_name_ = 0;
+  std::map<std::string, Rented> rented_;
+  std::map<std::string, Rental> rentals_;
+  std::map<MarketKey, Market> markets_;
+  std::set<std::string> list_seen_;
+  bool listing_ = false;
+  bool list_complete_ = false;  // at least one full list since we took over
+  double next_list_ = 0;
+  double next_types_ = 0;
+  int rent_calls_ = 0;
+  bool return_call_ = false;
+  double used_cores_ = 0;  // smoothed
+  double last_step_ = 0;
+};
+
+}  // namespace mothslip
--- /dev/null
+++ b/src/coordination/node.cpp
@@ -0,0 +1,293 @@
+#include "coordination/node.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include "bookkeeping/records.hpp"
+
+namespace mothslip {
+
+namespace {
+constexpr double kBeat = 2.0;
+constexpr double kRetry = 0.7;
+constexpr double kCountersEvery = 30.0;
+// Of the state service's limits: what every node may use for its users, and what goes with the parts.
+constexpr double kUsersShare = 0.3;
+}  // namespace
+
+Node::Node(Env& env, Settings settings)
+    : env_(env),
+      settings_(std::move(settings)),
+      state_(env_, settings_),
+      cloud_(env_, settings_),
+      ownership_(env_, state_, settings_,
+                 {[this](int part, std::uint64_t baton) { gained(part, baton); },
+                  [this](int part) { lost(part); }, [] {}}),
+      front_({&env_, &state_, &settings_, &types_, &ownership_,
+              [this](int index) -> Part* {
+                const auto it = parts_.find(index);
+                return it != parts_.end() && it->second->active() ? it->second.get() : nullptr;
+              },
+              [this](const std::string& node) {
+                for (const Member& member : settings_.members) {
+                  if (member.node == node) return member.address;
+                }
+                return std::string();
+              }}) {}
+
+Node::~Node() = default;
+
+const Part* Node::part(int index) const {
+  const auto it = parts_.find(index);
+  return it == parts_.end() ? nullptr : it->second.get();
+}
+
+void Node::start() {
+  share_calls();
+  ownership_.start();
+  load_types();
+  beat();
+  env_.after(kCountersEvery, [this] { log_counters(); });
+}
+
+// ---------------------------------------------------------------- machine types
+
+// The state service keeps what the cloud said last: a node that starts while the cloud is down can work.
+void Node::load_types() {
+  state_.get(Lane::kLease, keys::kTypes, [this](const StateReply& reply) {
+    if (!types_.empty()) return;
+    if (reply.ok() && reply.body.contains("data")) {
+      if (auto types = MachineTypes::parse(reply.body["data"])) {
+        take_types(std::move(*types), false);
+        return;
+      }
+    }
+    if (reply.ok() || reply.outcome == Outcome::kMissing) {
+      fetch_types();
+    } else {
+      env_.after(kRetry, [this] { load_types(); });
+    }
+  });
+}
+
+void Node::fetch_types() {
+  cloud_.machine_types([this](const CloudReply& reply) {
+    if (!types_.empty()) return;
+    if (reply.status == 200) {
+      if (auto types = MachineTypes::parse(reply.body)) {
+        take_types(std::move(*types), true);
+        return;
+      }
+    }
+    env_.after(env_.uniform(1.0, 2.5), [this] { load_types(); });
+  });
+}
+
+void Node::take_types(MachineTypes types, bool save) {
+  bool same = types.all().size() == types_.all().size();
+  for (std::size_t i = 0; same && i < types.all().size(); i++)
+    same = types.all()[i].name == types_.all()[i].name;
+  const bool first = types_.empty();
+  if (!same && !first) {
+    spdlog::warn("the cloud's machine types have changed: loading anew");
+    types_ = std::move(types);
+    for (int p = 0; p < ownership_.parts(); p++) ownership_.abdicate(p, "machine types changed");
+  } else {
+    types_ = std::move(types);
+  }
+  if (save) {
+    Transaction txn;
+    txn.put(keys::kTypes, types_.to_json());
+    state_.commit(Lane::kRest, txn, [](const StateReply&) {});
+  }
+  if (first) {
+    const auto waiting = std::move(waiting_for_types_);
+    waiting_for_types_.clear();
+    for (const auto& [part, baton] : waiting) {
+      if (ownership_.mine(part)) gained(part, baton);
+    }
+  }
+}
+
+// ---------------------------------------------------------------- parts
+
+void Node::gained(int part, std::uint64_t baton) {
+  share_calls();
+  if (types_.empty()) {
+    waiting_for_types_[part] = baton;
+    return;
+  }
+  Part::Context context;
+  context.env = &env_;
+  context.state = &state_;
+  context.settings = &settings_;
+  context.types = &types_;
+  context.halls = &halls_;
+  context.lease_valid = [this] { return ownership_.valid(); };
+  // Both end the part that calls: they run after its own code has returned.
+  context.abdicate = [this, part, baton](const std::string& why) {
+    env_.after(0, [this, part, baton, why] {
+      const auto it = parts_.find(part);
+      if (it != parts_.end() && it->second->baton() == baton) ownership_.abdicate(part, why);
+    });
+  };
+  context.deposed = [this, part](std::uint64_t newer) {
+    env_.after(0, [this, part, newer] { ownership_.heard(part, "", newer); });
+  };
+  context.ended = [this](const std::string& ref, const char* phase, int pieces) {
+    front_.note_ended(ref, phase, pieces);
+  };
+  auto fresh = std::make_unique<Part>(std::move(context), part, baton);
+  Part* raw = fresh.get();
+  parts_[part] = std::move(fresh);
+  raw->load();
+  if (part == 0) {
+    Fleet::Context fleet;
+    fleet.env = &env_;
+    fleet.state = &state_;
+    fleet.cloud = &cloud_;
+    fleet.settings = &settings_;
+    fleet.types = &types_;
+    fleet.halls = &halls_;
+    fleet.part = raw;
+    fleet.lease_valid = [this] { return ownership_.valid(); };
+    fleet.new_types = [this](MachineTypes types) {
+      env_.after(0, [this, types = std::move(types)]() mutable { take_types(std::move(types), false); });
+    };
+    fleet_ = std::make_unique<Fleet>(std::move(fleet));
+    fleet_->start();
+  }
+  beat();
+}
+
+void Node::lost(int part) {
+  waiting_for_types_.erase(part);
+  if (part == 0) fleet_.reset();
+  parts_.erase(part);
+  share_calls();
+}
+
+void Node::share_calls() {
+  const double nodes = static_cast<double>(settings_.members.size() + 1);
+  const int parts = std::max(1, ownership_.parts());
+  const double owned = static_cast<double>(ownership_.held_count()) / parts;
+  state_.set_share(kUsersShare / nodes + (1 - kUsersShare) * owned);
+  cloud_.set_share(ownership_.parts() > 0 && ownership_.mine(0) ? 0.8 : 0.2 / nodes);
+}
+
+// Owners tell the others, so that one whom the state service cannot reach hears that it was deposed.
+void Node::beat() {
+  Json owned = Json::array();
+  for (const auto& [index, part] : parts_) owned.push_back({{"part", index}, {"baton", part->baton()}});
+  if (!owned.empty()) {
+    const std::string body = dump_json({{"node", settings_.node}, {"owned", owned}});
+    for (const Member& member : settings_.members) {
+      env_.call({member.address, "POST", "/peer/beat", body, 1.0}, [](const HttpReply&) {});
+    }
+  }
+}
+
+void Node::on_beat(const HttpRequest& request, const Responder& responder) {
+  const Json body = parse_json(request.body);
+  if (!body.is_object() || !body.contains("owned") || !body["owned"].is_array()) {
+    responder.send(400, R"({"error":"malformed"})");
+    return;
+  }
+  const std::string node = body.value("node", "");
+  for (const Json& item : body["owned"]) {
+    ownership_.heard(item.value("part", -1), node, item.value("baton", std::uint64_t{0}));
+  }
+  responder.send(200, "{}");
+}
+
+// ---------------------------------------------------------------- routing
+
+void Node::on_front(HttpRequest request, Responder responder) {
+  if (request.path == "/hello") {
+    if (request.method != "POST") return responder.send(405, R"({"error":"method"})");
+    on_hello(request, responder);
+  } else if (request.path == "/ready") {
+    if (request.method != "GET") return responder.send(405, R"({"error":"method"})");
+    const bool ready = !types_.empty() && ownership_.parts() > 0;
+    responder.send(ready ? 200 : 503, ready ? R"({"ready":true})" : R"({"ready":false})", ready ? 0 : 1);
+  } else {
+    on_users(request, false, responder);
+  }
+}
+
+void Node::on_back(HttpRequest request, Responder responder) {
+  if (request.path == "/peer/beat") {
+    if (request.method != "POST") return responder.send(405, R"({"error":"method"})");
+    on_beat(request, responder);
+  } else {
+    on_users(request, true, responder);
+  }
+}
+
+void Node::on_users(const HttpRequest& request, bool forwarded, const Responder& responder) {
+  static constexpr std::string_view kRuns = "/v2/runs";
+  static constexpr std::string_view kCancel = "/cancel";
+  const std::string& path = request.path;
+  if (path == kRuns) {
+    if (request.method != "POST") return responder.send(405, R"({"error":"method"})");
+    front_.submit(request.body, responder);
+    return;
+  }
+  if (path.compare(0, kRuns.size(), kRuns) == 0 && path.size() > kRuns.size() + 1 &&
+      path[kRuns.size()] == '/') {
+    std::string ref = path.substr(kRuns.size() + 1);
+    if (ref.size() > kCancel.size() &&
+        ref.compare(ref.size() - kCancel.size(), kCancel.size(), kCancel) == 0) {
+      if (request.method != "POST") return responder.send(405, R"({"error":"method"})");
+      ref.resize(ref.size() - kCancel.size());
+      front_.cancel(ref, forwarded, responder);
+      return;
+    }
+    if (ref.find('/') == std::string::npos) {
+      if (request.method != "GET") return responder.send(405, R"({"error":"method"})");
+      front_.show(ref, forwarded, responder);
+      return;
+    }
+  }
+  responder.send(404, R"({"error":"no such path"})");
+}
+
+void Node::on_hello(const HttpRequest& request, const Responder& responder) {
+  auto report = parse_report(parse_json(request.body));
+  if (!report) {
+    responder.send(400, R"({"error":"malformed report"})");
+    return;
+  }
+  if (ownership_.parts() == 0) {
+    responder.send(503, R"({"error":"starting"})", 1);
+    return;
+  }
+  const int index = part_of(report->host, ownership_.parts());
+  const auto it = parts_.find(index);
+  if (it != parts_.end()) {
+    it->second->on_report(std::move(*report), responder);
+    return;
+  }
+  const std::string& owner = ownership_.owner(index).node;
+  if (owner.empty() || owner == settings_.node) {
+    responder.send(503, R"({"error":"no owner"})", 1);
+  } else {
+    responder.send(421, dump_json({{"parent", owner}}));
+  }
+}
+
+void Node::log_counters() {
+  const auto& calls = state_.counters();
+  spdlog::info("state calls {}, writes {}, refused here {}, 429 {}, unanswered {}", calls.calls, calls.writes,
+               calls.refused_here, calls.too_many, calls.unanswered);
+  for (const auto& [index, part] : parts_) {
+    const auto& c = part->counters();
+    spdlog::info(
+        "part {}: reports {}, launches {}, again {}, done {}, errors {}, freed by lease {} session {} return "
+        "{}",
+        index, c.reports, c.launches, c.relaunches, c.completions, c.errors, c.freed_by_lease,
+        c.freed_by_tenure, c.freed_by_return);
+  }
+  env_.after(kCountersEvery, [this] { log_counters(); });
+}
+
+}  // namespace mothslip
--- /dev/null
+++ b/src/coordination/node.hpp
@@ -0,0 +1,58 @@
+// One controller: wires the actors together and routes what comes in.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "coordination/cloud_client.hpp"
+#include "coordination/fleet.hpp"
+#include "coordination/front.hpp"
+#include "coordination/ownership.hpp"
+#include "coordination/part.hpp"
+#include "transport/http.hpp"
+
+namespace mothslip {
+
+class Node {
+ public:
+  Node(Env& env, Settings settings);
+  ~Node();
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+  void start();
+  void on_front(HttpRequest request, Responder responder);
+  void on_back(HttpRequest request, Responder responder);
+
+  [[nodiscard]] const Part* part(int index) const;
+  [[nodiscard]] const StateClient& state() const { return state_; }
+
+ private:
+  void load_types();
+  void fetch_types();
+  void take_types(MachineTypes types, bool save);
+  void gained(int part, std::uint64_t baton);
+  void lost(int part);
+  void open_part(int part);
+  void share_calls();
+  void beat();
+  void on_users(const HttpRequest& request, bool forwarded, const Responder& responder);
+  void on_hello(const HttpRequest& request, const Responder& responder);
+  void on_beat(const HttpRequest& request, const Responder& responder);
+  void log_counters();
+
+  Env& env_;
+  Settings settings_;
+  MachineTypes types_;
+  NameTable halls_;
+  StateClient state_;
+  CloudClient cloud_;
+  Ownership ownership_;
+  Front front_;
+  std::map<int, std::unique_ptr<Part>> parts_;
+  std::unique_ptr<Fleet> fleet_;
+  std::map<int, std::uint64_t> waiting_for_types_;
+};
+
+}  // namespace mothslip
--- /dev/null
+++ b/src/coordination/ownership.cpp
@@ -0,0 +1,292 @@
+#include "coordination/ownership.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "bookkeeping/records.hpp"
+#include "protocol/names.hpp"
+
+namespace mothslip {
+
+namespace {
+constexpr int kParts = 1;
+constexpr double kTtl = 4.0;
+constexpr double kRenewEvery = 1.0;
+constexpr double kDrift = 0.001;  // twice what the protocol allows
+constexpr double kMargin = 0.05;
+constexpr double kRetry = 0.3;
+constexpr double kWatch = 20.0;
+}  // namespace
+
+Ownership::Ownership(Env& env, StateClient& state, const Settings& settings, Listener listener)
+    : env_(env),
+      state_(state),
+      settings_(settings),
+      listener_(std::move(listener)),
+      boot_(settings.node + "." + std::to_string(env.random() >> 16)) {}
+
+void Ownership::start() {
+  read_meta();
+  open_lease();
+}
+
+int Ownership::held_count() const {
+  return static_cast<int>(
+      std::count_if(held_.begin(), held_.end(), [](std::uint64_t baton) { return baton != 0; }));
+}
+
+void Ownership::read_meta() {
+  state_.get(Lane::kLease, keys::kMeta, [this](const StateReply& reply) {
+    if (reply.ok() && reply.body.contains("data")) {
+      const int parts = reply.body["data"].value("parts", 1);
+      const auto count = static_cast<std::size_t>(parts);
+      owners_.resize(count);
+      owner_boots_.resize(count);
+      held_.resize(count);
+      claiming_.resize(count);
+      read_parts();
+    } else if (reply.outcome == Outcome::kMissing) {
+      write_meta();
+    } else {
+      env_.after(kRetry, [this] { read_meta(); });
+    }
+  });
+}
+
+void Ownership::write_meta() {
+  Transaction txn;
+  txn.guard(keys::kMeta, 0);
+  txn.put(keys::kMeta, {{"parts", kParts}});
+  // Whatever the answer, what counts is what the key says afterwards.
+  state_.commit(Lane::kLease, txn, [this](const StateReply&) { read_meta(); });
+}
+
+void Ownership::open_lease() {
+  const double asked = env_.now();
+  state_.lease_create(kTtl, [this, asked](const StateReply& reply) {
+    const std::uint64_t hold = reply.ok() ? reply.body.value("hold", std::uint64_t{0}) : 0;
+    if (hold == 0) {
+      env_.after(kRetry, [this] { open_lease(); });
+      return;
+    }
+    hold_ = hold;
+    valid_until_ = asked + kTtl * (1 - kDrift) - kMargin;
+    env_.after(kRenewEvery, [this] { renew(); });
+    for (int p = 0; p < parts(); p++) consider(p);
+  });
+}
+
+void Ownership::renew() {
+  const double asked = env_.now();
+  const std::uint64_t hold = hold_;
+  state_.lease_renew(hold, kRenewEvery * 1.5, [this, asked, hold](const StateReply& reply) {
+    if (hold != hold_) return;
+    if (reply.outcome == Outcome::kMissing) {
+      lease_lost("lease ended");
+      return;
+    }
+    if (reply.ok()) valid_until_ = std::max(valid_until_, asked + kTtl * (1 - kDrift) - kMargin);
+    const double wait = reply.ok() ? kRenewEvery - (env_.now() - asked) : kRetry;
+    env_.after(std::max(0.05, wait), [this] { renew(); });
+  });
+}
+
+void Ownership::lease_lost(const char* why) {
+  hold_ = 0;
+  valid_until_ = 0;
+  for (int p = 0; p < parts(); p++) lose(p, why);
+  open_lease();
+}
+
+void Ownership::lose(int part, const char* why) {
+  const auto at = static_cast<std::size_t>(part);
+  if (held_[at] == 0) return;
+  spdlog::info("part {} lost, baton {}: {}", part, held_[at], why);
+  held_[at] = 0;
+  listener_.lost(part);
+}
+
+void Ownership::read_parts() {
+  if (reading_) return;
+  reading_ = true;
+  state_.list(Lane::kLease, keys::kParts,
+              [this](Outcome outcome, std::vector<StateItem> items, std::uint64_t epoch) {
+                reading_ = false;
+                if (outcome != Outcome::kOk) {
+                  env_.after(kRetry, [this] { read_parts(); });
+                  return;
+                }
+                std::vector<bool> present(owners_.size(), false);
+                for (const StateItem& item : items) {
+                  const int part = std::atoi(item.key.c_str() + keys::kParts.size());
+                  if (part < 0 || part >= parts()) continue;
+                  present[static_cast<std::size_t>(part)] = true;
+                  see(part, {item.data.value("node", ""), item.data.value("boot", ""), item.stamp});
+                }
+                for (int p = 0; p < parts(); p++) {
+                  if (!present[static_cast<std::size_t>(p)]) see(p, {"", "", epoch});
+                }
+                watched_ = epoch;
+                if (!watching_) watch_parts();
+              });
+}
+
+void Ownership::watch_parts() {
+  watching_ = true;
+  const double asked = env_.now();
+  state_.watch(keys::kParts, watched_, kWatch, [this, asked](const StateReply& reply) {
+    watching_ = false;
+    if (reply.outcome == Outcome::kOk) {
+      const auto events = reply.body.find("events");
+      if (events != reply.body.end() && events->is_array()) {
+        for (const Json& event : *events) {
+          const bool put = event.contains("put");
+          const std::string key = event.value(put ? "put" : "delete", "");
+          if (key.size() <= keys::kParts.size()) continue;
+          const int part = std::atoi(key.c_str() + keys::kParts.size());
+          if (part < 0 || part >= parts()) continue;
+          const auto revision = event.value("stamp", std::uint64_t{0});
+          if (put) {
+            see(part, {event["data"].value("node", ""), event["data"].value("boot", ""), revision});
+          } else {
+            see(part, {"", "", revision});
+          }
+        }
+      }
+      watched_ = std::max(watched_, reply.epoch());
+      watch_parts();
+    } else if (reply.outcome == Outcome::kGone) {
+      read_parts();
+    } else {
+      // A watch that failed may have missed changes only up to what the next one reports.
+      env_.after(env_.now() - asked < 1 ? kRetry : 0.0, [this] {
+        if (!watching_) watch_parts();
+      });
+    }
+  });
+}
+
+// `revision` dates the sight: what is older than what we know already (a claim's own answer overtakes the
+// watch) must not take a fresh part away from us.
+void Ownership::see(int part, const Sight& sight) {
+  const auto at = static_cast<std::size_t>(part);
+  if (sight.revision < owners_[at].baton) return;
+  const std::string& node = sight.node;
+  if (held_[at] != 0) {
+    if (node.empty()) {
+      lose(part, "key gone");
+    } else if (sight.revision > held_[at]) {
+      lose(part, "another owner");
+    }
+  }
+  const bool changed = owners_[at].node != node || owners_[at].baton != sight.revision;
+  owners_[at] = {node, sight.revision};
+  owner_boots_[at] = sight.boot;
+  if (changed) {
+    listener_.owners_changed();
+    consider(part);
+  }
+}
+
+// Each free part has one node that takes it at once; the others hold back a little so that claims do not
+// collide, and so that parts spread.
+double Ownership::patience(int part) const {
+  std::vector<std::pair<std::uint64_t, std::string>> order;
+  const auto rank = [part](const std::string& node) {
+    return stable_hash(node + "#" + std::to_string(part));
+  };
+  order.emplace_back(rank(settings_.node), settings_.node);
+  for (const Member& member : settings_.members) order.emplace_back(rank(member.node), member.node);
+  std::sort(order.begin(), order.end());
+  double wait = 0;
+  for (const auto& [hash, node] : order) {
+    if (node == settings_.node) break;
+    wait += 0.15;
+  }
+  return wait;
+}
+
+void Ownership::consider(int part) {
+  const auto at = static_cast<std::size_t>(part);
+  if (hold_ == 0 || held_[at] != 0 || claiming_[at]) return;
+  if (owners_[at].node.empty()) {
+    env_.after(patience(part), [this, part, at] {
+      if (hold_ != 0 && held_[at] == 0 && !claiming_[at] && owners_[at].node.empty()) claim(part, 0);
+    });
+  } else if (owners_[at].node == settings_.node && owner_boots_[at] != boot_) {
+    // Held by an earlier process of this very node, which has ended: no need to wait for its lease.
+    claim(part, owners_[at].baton);
+  }
+}
+
+void Ownership::claim(int part, std::uint64_t stamp) {
+  const auto at = static_cast<std::size_t>(part);
+  claiming_[at] = true;
+  const std::uint64_t hold = hold_;
+  Transaction txn;
+  txn.guard(keys::part(part), stamp);
+  txn.put_held(keys::part(part), {{"node", settings_.node}, {"boot", boot_}}, hold);
+  state_.commit(Lane::kLease, txn, [this, part, at, hold](const StateReply& reply) {
+    claiming_[at] = false;
+    if (reply.ok() && hold == hold_) {
+      held_[at] = reply.epoch();
+      owners_[at] = {settings_.node, reply.epoch()};
+      owner_boots_[at] = boot_;
+      spdlog::info("part {} gained, baton {}", part, reply.epoch());
+      listener_.gained(part, reply.epoch());
+      listener_.owners_changed();
+      return;
+    }
+    // Lost the race, or nobody knows: look at the key itself.
+    claiming_[at] = true;
+    state_.get(Lane::kLease, keys::part(part), [this, part, at, hold](const StateReply& now) {
+      claiming_[at] = false;
+      if (now.ok() && now.body.contains("data")) {
+        const std::string node = now.body["data"].value("node", "");
+        const std::string boot = now.body["data"].value("boot", "");
+        const std::uint64_t found = now.body.value("stamp", std::uint64_t{0});
+        if (boot == boot_ && hold == hold_ && hold_ != 0 &&
+            now.body.value("hold", std::uint64_t{0}) == hold_) {
+          if (held_[at] == found) return;
+          held_[at] = found;
+          owners_[at] = {node, found};
+          owner_boots_[at] = boot;
+          spdlog::info("part {} gained, baton {} (found)", part, found);
+          listener_.gained(part, found);
+          listener_.owners_changed();
+        } else {
+          see(part, {node, boot, found});
+        }
+        return;
+      }
+      if (now.outcome == Outcome::kMissing) see(part, {"", "", now.epoch()});
+      env_.after(kRetry, [this, part] { consider(part); });
+    });
+  });
+}
+
+void Ownership::abdicate(int part, const std::string& why) {
+  const auto at = static_cast<std::size_t>(part);
+  const std::uint64_t baton = held_[at];
+  if (baton == 0) return;
+  spdlog::warn("part {} given up: {}", part, why);
+  lose(part, "abdicated");
+  // The same node takes it again at once under a new baton; whatever is still on its way dies with the old
+  // one.
+  owner_boots_[at] = "abdicated";
+  owners_[at] = {settings_.node, baton};
+  consider(part);
+}
+
+void Ownership::heard(int part, const std::string& node, std::uint64_t baton) {
+  if (part < 0 || part >= parts()) return;
+  const auto at = static_cast<std::size_t>(part);
+  if (baton <= owners_[at].baton) return;
+  if (held_[at] != 0) lose(part, "a newer owner was heard of");
+  owners_[at] = {node, baton};
+  owner_boots_[at] = "heard";
+  listener_.owners_changed();
+}
+
+}  // namespace mothslip
--- /dev/null
+++ b/src/coordination/ownership.hpp
@@ -0,0 +1,78 @@
+// Who owns which part: one lease per process, one key per part held by it.
+//
+// The put that creates `parts/P` gives the part's baton (its revision). Renewing the lease does not change
+// that revision, so every owner's write guards `parts/P` with it: a late or deposed owner fails by itself.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "coordination/state_client.hpp"
+
+namespace mothslip {
+
+struct PartOwner {
+  std::string node;  // empty: nobody known
+  std::uint64_t baton = 0;
+};
+
+class Ownership {
+ public:
+  struct Listener {
+    std::function<void(int part, std::uint64_t baton)> gained;
+    std::function<void(int part)> lost;
+    std::function<void()> owners_changed;
+  };
+  Ownership(Env& env, StateClient& state, const Settings& settings, Listener listener);
+
+  void start();
+  [[nodiscard]] int parts() const { return static_cast<int>(owners_.size()); }
+  [[nodiscard]] const PartOwner& owner(int part) const { return owners_[static_cast<std::size_t>(part)]; }
+  [[nodiscard]] bool mine(int part) const { return held_[static_cast<std::size_t>(part)] != 0; }
+  [[nodiscard]] int held_count() const;
+  // By our own clock, drift allowed: nobody else can own what we own before this time.
+  [[nodiscard]] double valid_until() const { return valid_until_; }
+  [[nodiscard]] bool valid() const { return env_.now() < valid_until_; }
+  // Anything unexpected about a part's records: give it up and load it anew under a new baton.
+  void abdicate(int part, const std::string& why);
+  // Another node was heard of holding the part with this baton.
+  void heard(int part, const std::string& node, std::uint64_t baton);
+
+ private:
+  void read_meta();
+  void write_meta();
+  void open_lease();
+  void renew();
+  void lease_lost(const char* why);
+  void read_parts();
+  void watch_parts();
+  struct Sight {
+    std::string node;  // empty: the key is gone
+    std::string boot;
+    std::uint64_t revision = 0;
+  };
+  void see(int part, const Sight& sight);
+  void consider(int part);
+  void claim(int part, std::uint64_t stamp);
+  void lose(int part, const char* why);
+  [[nodiscard]] double patience(int part) const;
+
+  Env& env_;
+  StateClient& state_;
+  const Settings& settings_;
+  Listener listener_;
+  std::string boot_;  // tells this process from an earlier one of the same node
+  std::vector<PartOwner> owners_;
+  std::vector<std::string> owner_boots_;
+  std::vector<std::uint64_t> held_;  // our baton, 0: not ours
+  std::vector<bool> claiming_;
+  std::uint64_t hold_ = 0;  // 0: no lease
+  double valid_until_ = 0;
+  std::uint64_t watched_ = 0;
+  bool reading_ = false;
+  bool watching_ = false;
+};
+
+}  // namespace mothslip
--- /dev/null
+++ b/src/coordination/state_client.cpp
@@ -0,0 +1,210 @@
+#include "coordination/state_client.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mothslip {
+
+namespace {
+constexpr std::size_t kMaxLane = 128;
+constexpr double kQueueSeconds = 2.0;
+constexpr double kCallSeconds = 1.5;
+
+Outcome outcome_of(int status) {
+  switch (status) {
+    case 0:
+      return Outcome::kUnknown;
+    case 200:
+      return Outcome::kOk;
+    case 400:
+      return Outcome::kInvalid;
+    case 404:
+      return Outcome::kMissing;
+    case 409:
+      return Outcome::kConflict;
+    case 410:
+      return Outcome::kGone;
+    case 429:
+    case 503:
+      return Outcome::kRefused;
+    default:
+      return Outcome::kUnknown;  // a proxy's 502 or 504 says nothing about execution
+  }
+}
+}  // namespace
+
+StateClient::StateClient(Env& env, const Settings& settings)
+    : env_(env),
+      address_(settings.state),
+      rps_(settings.state_rps),
+      write_rps_(settings.state_write_rps),
+      txn_ops_(settings.txn_ops),
+      writes_per_txn_(settings.txn_ops),
+      calls_(settings.state_rps / 3, settings.state_rps / 3, env.now()),
+      writes_(settings.state_write_rps / 3, settings.state_write_rps / 3, env.now()) {}
+
+StateClient::~StateClient() {
+  if (pump_timer_ != 0) env_.cancel(pump_timer_);
+}
+
+void StateClient::set_share(double share) {
+  const double now = env_.now();
+  calls_.set_rate(rps_ * share, std::max(2.0, rps_ * share), now);
+  writes_.set_rate(write_rps_ * share, std::max(2.0, write_rps_ * share), now);
+  writes_per_txn_ = std::clamp(static_cast<int>(write_rps_ * share), 3, txn_ops_);
+}
+
+void StateClient::submit(Lane lane, HttpCall call, int writes, StateHandler handler) {
+  auto& queue = lanes_[static_cast<std::size_t>(lane)];
+  if (queue.size() >= kMaxLane) {
+    counters_.refused_here++;
+    env_.after(0, [handler = std::move(handler)] { handler({Outcome::kRefused, Json()}); });
+    return;
+  }
+  call.destination = address_;
+  queue.push_back({std::move(call), writes, env_.now() + kQueueSeconds, std::move(handler)});
+  pump();
+}
+
+bool StateClient::busy(Lane lane, double patience_s) {
+  std::size_t ahead = 0;
+  double writes = 1;
+  for (std::size_t i = 0; i <= static_cast<std::size_t>(lane); i++) {
+    ahead += lanes_[i].size();
+    for (const Pending& item : lanes_[i]) writes += item.writes;
+  }
+  const double now = env_.now();
+  return calls_.wait_s(static_cast<double>(ahead + 1), 0, now) > patience_s ||
+         writes_.wait_s(writes, 0, now) > patience_s;
+}
+
+void StateClient::pump() {
+  const double now = env_.now();
+  double wait = -1;
+  for (std::size_t lane = 0; lane < lanes_.size(); lane++) {
+    auto& queue = lanes_[lane];
+    while (!queue.empty()) {
+      Pending& head = queue.front();
+      if (now >= head.give_up) {
+        counters_.refused_here++;
+        env_.after(0, [handler = std::move(head.handler)] { handler({Outcome::kRefused, Json()}); });
+        queue.pop_front();
+        continue;
+      }
+      // Each lane leaves a little for the lanes above it.
+      const double reserve = static_cast<double>(lane) * 0.5;
+      if (calls_.can_take(1, reserve, now) &&
+          (head.writes == 0 || writes_.can_take(head.writes, reserve * 0.5, now))) {
+        calls_.take(1, now);
+        if (head.writes > 0) writes_.take(head.writes, now);
+        Pending taken = std::move(head);
+        queue.pop_front();
+        send(std::move(taken));
+        continue;
+      }
+      const double need = std::max(calls_.wait_s(1, reserve, now),
+                                   head.writes == 0 ? 0.0 : writes_.wait_s(head.writes, reserve * 0.5, now));
+      const double until = std::clamp(std::min(need, head.give_up - now), 0.002, 0.5);
+      if (wait < 0 || until < wait) wait = until;
+      break;
+    }
+  }
+  if (wait >= 0 && pump_timer_ == 0) {
+    pump_timer_ = env_.after(wait, [this] {
+      pump_timer_ = 0;
+      pump();
+    });
+  }
+}
+
+void StateClient::send(Pending pending) {
+  counters_.calls++;
+  counters_.writes += static_cast<std::uint64_t>(pending.writes);
+  env_.call(std::move(pending.call), [this, handler = std::move(pending.handler)](const HttpReply& reply) {
+    if (reply.status == 429) {
+      counters_.too_many++;
+      calls_.drain(env_.now());
+    }
+    if (reply.unanswered()) counters_.unanswered++;
+    StateReply out;
+    out.outcome = outcome_of(reply.status);
+    if (!reply.body.empty()) out.body = parse_json(reply.body);
+    if (out.outcome == Outcome::kOk && !out.body.is_object()) out.outcome = Outcome::kUnknown;
+    handler(std::move(out));
+  });
+}
+
+void StateClient::commit(Lane lane, const Transaction& txn, StateHandler handler) {
+  commit_body(lane, txn.body(), static_cast<int>(txn.then.size()), std::move(handler));
+}
+
+void StateClient::commit_body(Lane lane, std::string body, int writes, StateHandler handler) {
+  submit(lane, {"", "POST", "/commit", std::move(body), kCallSeconds}, writes, std::move(handler));
+}
+
+void StateClient::get(Lane lane, const std::string& key, StateHandler handler) {
+  submit(lane, {"", "GET", "/keys/" + key, "", kCallSeconds}, 0, std::move(handler));
+}
+
+struct StateClient::ListWork {
+  Lane lane = Lane::kRest;
+  std::string prefix;
+  std::string from;
+  std::vector<StateItem> items;
+  std::uint64_t epoch = 0;
+  ListHandler handler;
+};
+
+void StateClient::list(Lane lane, const std::string& prefix, ListHandler handler) {
+  auto work = std::make_shared<ListWork>();
+  work->lane = lane;
+  work->prefix = prefix;
+  work->handler = std::move(handler);
+  list_page(work);
+}
+
+void StateClient::list_page(const std::shared_ptr<ListWork>& work) {
+  std::string path = "/keys?prefix=" + work->prefix + "&most=500";
+  if (!work->from.empty()) path += "&from=" + work->from;
+  submit(work->lane, {"", "GET", path, "", kCallSeconds}, 0, [this, work](StateReply reply) {
+    if (!reply.ok()) {
+      work->handler(reply.outcome, {}, 0);
+      return;
+    }
+    if (work->epoch == 0) work->epoch = reply.epoch();
+    const auto items = reply.body.find("items");
+    if (items != reply.body.end() && items->is_array()) {
+      for (Json& item : *items) {
+        work->items.push_back(
+            {item.value("k", ""), std::move(item["data"]), item.value("stamp", std::uint64_t{0})});
+      }
+    }
+    if (reply.body.value("more", false) && !work->items.empty()) {
+      work->from = work->items.back().key;
+      list_page(work);
+      return;
+    }
+    work->handler(Outcome::kOk, std::move(work->items), work->epoch);
+  });
+}
+
+void StateClient::watch(const std::string& prefix, std::uint64_t from, double wait_s, StateHandler handler) {
+  HttpCall call;
+  call.method = "GET";
+  call.path = "/changes?prefix=" + prefix + "&from=" + std::to_string(from) +
+              "&wait_ms=" + std::to_string(static_cast<int>(wait_s * 1000));
+  call.timeout_s = wait_s + 5;
+  submit(Lane::kLease, std::move(call), 0, std::move(handler));
+}
+
+void StateClient::lease_create(double ttl_s, StateHandler handler) {
+  const Json body = {{"ttl_ms", static_cast<int>(ttl_s * 1000)}};
+  submit(Lane::kLease, {"", "POST", "/leases", dump_json(body), kCallSeconds}, 0, std::move(handler));
+}
+
+void StateClient::lease_renew(std::uint64_t hold, double timeout_s, StateHandler handler) {
+  submit(Lane::kLease, {"", "POST", "/leases/" + std::to_string(hold) + "/renew", "{}", timeout_s}, 0,
+         std::move(handler));
+}
+
+}  // namespace mothslip
--- /dev/null
+++ b/src/coordination/state_client.hpp
@@ -0,0 +1,115 @@
+// The state service behind token buckets: calls wait in lanes, the most important lane first, and are
+// refused at once when their lane is full.
+#pragma once
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "protocol/messages.hpp"
+#include "transport/env.hpp"
+#include "transport/token_bucket.hpp"
+
+namespace mothslip {
+
+enum class Lane { kLease = 0, kCancel, kAccept, kLaunch, kDone, kRest, kCount };
+
+enum class Outcome {
+  kOk,
+  kMissing,   // 404
+  kConflict,  // 409: a guard failed, nothing was changed
+  kGone,      // 410
+  kInvalid,   // 400, or 400 "no such lease": nothing was changed
+  kRefused,   // 429, 503, or refused here: not executed
+  kUnknown,   // no response: may have been executed, or may be executed later
+};
+
+struct StateReply {
+  Outcome outcome = Outcome::kUnknown;
+  Json body;
+  [[nodiscard]] bool ok() const { return outcome == Outcome::kOk; }
+  [[nodiscard]] std::uint64_t epoch() const {
+    return body.is_object() ? body.value("epoch", std::uint64_t{0}) : 0;
+  }
+};
+using StateHandler = std::function<void(StateReply)>;
+
+struct Transaction {
+  Json guards = Json::array();
+  Json then = Json::array();
+  void guard(const std::string& key, std::uint64_t stamp) {
+    guards.push_back({{"k", key}, {"stamp", stamp}});
+  }
+  void put(const std::string& key, Json data) { then.push_back({{"put", key}, {"data", std::move(data)}}); }
+  void put_held(const std::string& key, Json data, std::uint64_t hold) {
+    then.push_back({{"put", key}, {"data", std::move(data)}, {"hold", hold}});
+  }
+  void remove(const std::string& key) { then.push_back({{"delete", key}}); }
+  [[nodiscard]] std::string body() const { return dump_json({{"guards", guards}, {"then", then}}); }
+};
+
+struct StateItem {
+  std::string key;
+  Json data;
+  std::uint64_t stamp = 0;
+};
+
+class StateClient {
+ public:
+  StateClient(Env& env, const Settings& settings);
+  ~StateClient();
+  StateClient(const StateClient&) = delete;
+  StateClient& operator=(const StateClient&) = delete;
+
+  // The part of the service's limits that this node may use, 0..1.
+  void set_share(double share);
+
+  void commit(Lane lane, const Transaction& txn, StateHandler handler);
+  void commit_body(Lane lane, std::string body, int writes, StateHandler handler);
+  void get(Lane lane, const std::string& key, StateHandler handler);
+  // All items under a prefix, page by page; the epoch is the first page's.
+  using ListHandler = std::function<void(Outcome, std::vector<StateItem>, std::uint64_t epoch)>;
+  void list(Lane lane, const std::string& prefix, ListHandler handler);
+  void watch(const std::string& prefix, std::uint64_t from, double wait_s, StateHandler handler);
+  void lease_create(double ttl_s, StateHandler handler);
+  void lease_renew(std::uint64_t hold, double timeout_s, StateHandler handler);
+
+  [[nodiscard]] int writes_per_txn() const { return writes_per_txn_; }
+  // True when a call in this lane would have to wait longer than `patience_s`.
+  [[nodiscard]] bool busy(Lane lane, double patience_s);
+
+  struct Counters {
+    std::uint64_t calls = 0, writes = 0, refused_here = 0, too_many = 0, unanswered = 0;
+  };
+  [[nodiscard]] const Counters& counters() const { return counters_; }
+
+ private:
+  struct Pending {
+    HttpCall call;
+    int writes = 0;
+    double give_up = 0;
+    StateHandler handler;
+  };
+  struct ListWork;
+  void submit(Lane lane, HttpCall call, int writes, StateHandler handler);
+  void pump();
+  void send(Pending pending);
+  void list_page(const std::shared_ptr<ListWork>& work);
+
+  Env& env_;
+  std::string address_;
+  double rps_;
+  double write_rps_;
+  int txn_ops_;
+  int writes_per_txn_;
+  TokenBucket calls_;
+  TokenBucket writes_;
+  std::array<std::deque<Pending>, static_cast<std::size_t>(Lane::kCount)> lanes_;
+  TimerId pump_timer_ = 0;
+  Counters counters_;
+};
+
+}  // namespace mothslip
--- /dev/null
+++ b/src/protocol/messages.hpp
@@ -0,0 +1,119 @@
+// Parsing and validation of what users, workers and the cloud send, and the emission of what they get.
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "protocol/names.hpp"
+#include "protocol/settings.hpp"
+
+namespace mothslip {
+
+using Json = nlohmann::json;
+
+// A parse that never throws: discarded() tells.
+Json parse_json(const std::string& text);
+std::string dump_json(const Json& value);
+
+enum class Urgency { kBestEffort = 0, kNormal = 1, kUrgent = 2, kCritical = 3 };
+std::optional<Urgency> parse_urgency(const std::string& text);
+const char* urgency_name(Urgency urgency);
+
+struct JobSpec {
+  std::string ref;
+  std::string workload;
+  std::string owner;
+  Urgency urgency = Urgency::kNormal;
+  int pieces = 1;
+  double cores = 0;
+  double accelerators = 0;
+  double memory_gb = 0;
+  std::string bundle;
+  double pull_gb = 0;
+  std::optional<std::vector<std::string>> flavours;
+  std::optional<std::string> hall;
+  bool together = false;
+  bool scatter = false;
+  bool loaner = false;
+  double guess_s = 0;
+  double snapshot_every_s = 0;
+  double snapshot_cost_s = 0;
+  std::optional<double> due_s;
+};
+
+bool valid_ref(const std::string& ref);
+// nullopt when malformed; `why` then names the field.
+std::optional<JobSpec> parse_job(const Json& body, std::string& why);
+Json job_to_json(const JobSpec& spec);
+
+struct MachineType {
+  std::string name;
+  double cores = 0;
+  double accelerators = 0;
+  double memory_gb = 0;
+  double cache_gb = 0;
+  double pull_gb_per_s = 1;
+  double hourly = 0;
+  double spot_price = 0;
+  double boot_s = 30;
+  std::vector<std::string> halls;
+};
+
+class MachineTypes {
+ public:
+  // nullopt when the cloud's answer cannot be understood.
+  static std::optional<MachineTypes> parse(const Json& body);
+  [[nodiscard]] Json to_json() const;
+  [[nodiscard]] int find(const std::string& name) const;
+  [[nodiscard]] const std::vector<MachineType>& all() const { return types_; }
+  [[nodiscard]] const MachineType& at(int index) const { return types_[static_cast<std::size_t>(index)]; }
+  [[nodiscard]] bool empty() const { return types_.empty(); }
+
+ private:
+  std::vector<MachineType> types_;
+};
+
+// Empty when the job can run some day; else why it never can.
+std::string never_runs(const JobSpec& spec, const Settings& settings, const MachineTypes& types);
+
+enum class PiecePhase { kPulling, kRunning, kSaving, kExited };
+enum class ExitCause { kNone, kDone, kHalted, kError, kNoRoom, kInUse, kNoSuch, kOther };
+
+struct PieceReport {
+  std::string ref;
+  int index = 0;
+  std::uint64_t try_no = 0;
+  PiecePhase phase = PiecePhase::kRunning;
+  ExitCause cause = ExitCause::kNone;
+};
+
+struct Report {
+  std::string host;
+  std::string address;
+  std::string flavour;
+  std::string hall;
+  bool loaner = false;
+  std::uint64_t tenure = 0;
+  std::uint64_t tick = 0;
+  std::uint64_t baton = 0;
+  std::optional<double> warning_s;
+  std::vector<PieceReport> pieces;
+};
+
+std::optional<Report> parse_report(const Json& body);
+
+struct Order {
+  enum class Verb { kLaunch, kStop, kReap };
+  Verb verb = Verb::kLaunch;
+  std::string piece;
+  std::uint64_t try_no = 0;
+  double wind_down_s = 0;
+};
+std::string orders_body(std::uint64_t baton, std::optional<std::uint64_t> tenure,
+                        const std::vector<Order>& orders);
+std::string piece_name(const std::string& ref, int index);
+
+}  // namespace mothslip
--- /dev/null
+++ b/src/protocol/settings.cpp
@@ -0,0 +1,203 @@
+#include "protocol/settings.hpp"
+
+#include <INIReader.h>
+
+#include <cmath>
+#include <fstream>
+#include <map>
+#include <sstream>
+
+#define TOML_EXCEPTIONS 1
+#include <toml++/toml.h>
+
+namespace mothslip {
+
+namespace {
+
+class Reader {
+ public:
+  Reader(const toml::table& table, std::string file, std::string at)
+      : table_(table), file_(std::move(file)), at_(std::move(at)) {}
+
+  [[noreturn]] void fail(const std::string& field, const std::string& what) const {
+    throw SettingsError(file_ + ": " + (at_.empty() ? field : at_ + "." + field) + ": " + what);
+  }
+  std::string text(const std::string& field) const {
+    const auto value = table_[field].value_exact<std::string>();
+    if (!table_.contains(field)) fail(field, "missing");
+    if (!value || value->empty()) fail(field, "must be a text that is not empty");
+    return *value;
+  }
+  double number(const std::string& field, double least) const {
+    if (!table_.contains(field)) fail(field, "missing");
+    const auto node = table_[field];
+    if (!node.is_number()) fail(field, "must be a number");
+    const double value = *node.value<double>();
+    if (!std::isfinite(value) || value < least) fail(field, "must be at least " + std::to_string(least));
+    return value;
+  }
+  double number_or(const std::string& field, double least, double otherwise) const {
+    return table_.contains(field) ? number(field, least) : otherwise;
+  }
+  std::string address(const std::string& field) const {
+    const std::string value = text(field);
+    const auto colon = value.rfind(':');
+    bool good =
+        colon != std::string::npos && colon > 0 && colon + 1 < value.size() && value.size() - colon <= 6;
+    for (std::size_t i = 0; good && i < value.size(); i++) {
+      if (i == colon) continue;
+      good = (value[i] >= '0' && value[i] <= '9') || (i < colon && value[i] == '.');
+    }
+    if (!good) fail(field, "must be a numeric IPv4 address with a port");
+    return value;
+  }
+  Reader sub(const std::string& field) const {
+    const toml::table* table = table_[field].as_table();
+    if (table == nullptr) fail(field, table_.contains(field) ? "must be a table" : "missing");
+    return Reader(*table, file_, at_.empty() ? field : at_ + "." + field);
+  }
+  std::vector<Reader> tables(const std::string& field) const {
+    std::vector<Reader> out;
+    if (!table_.contains(field)) return out;
+    const toml::array* list = table_[field].as_array();
+    if (list == nullptr) fail(field, "must be a list of tables");
+    for (std::size_t i = 0; i < list->size(); i++) {
+      const std::string name = field + "[" + std::to_string(i) + "]";
+      const toml::table* table = list->get(i)->as_table();
+      if (table == nullptr) fail(name, "must be a table");
+      out.emplace_back(*table, file_, at_.empty() ? name : at_ + "." + name);
+    }
+    return out;
+  }
+  std::vector<std::string> texts(const std::string& field) const {
+    std::vector<std::string> out;
+    if (!table_.contains(field)) return out;
+    const toml::array* list = table_[field].as_array();
+    if (list == nullptr) fail(field, "must be a list of texts");
+    for (const auto& item : *list) {
+      const auto value = item.value_exact<std::string>();
+      if (!value) fail(field, "must be a list of texts");
+      out.push_back(*value);
+    }
+    return out;
+  }
+  bool has(const std::string& field) const { return table_.contains(field); }
+
+ private:
+  const toml::table& table_;
+  std::string file_;
+  std::string at_;
+};
+
+std::string read_file(const std::string& file) {
+  std::ifstream in(file, std::ios::binary);
+  if (!in) throw SettingsError(file + ": cannot be read");
+  std::ostringstream out;
+  out << in.rdbuf();
+  return out.str();
+}
+
+}  // namespace
+
+int Settings::team_index(const std::string& name) const {
+  for (std::size_t i = 0; i < teams.size(); i++) {
+    if (teams[i].name == name) return static_cast<int>(i);
+  }
+  return -1;
+}
+
+Settings parse_settings(const std::string& text, const std::string& name) {
+  toml::table table;
+  try {
+    table = toml::parse(text);
+  } catch (const toml::parse_error& error) {
+    throw SettingsError(name + ": line " + std::to_string(error.source().begin.line) + ": " +
+                        std::string(error.description()));
+  }
+  const Reader root(table, name, "");
+  Settings out;
+  out.node = root.text("node");
+  out.area = root.text("area");
+  out.front = root.address("front");
+  out.back = root.address("back");
+  for (const Reader& item : root.tables("members")) {
+    out.members.push_back({item.text("node"), item.text("area"), item.address("address")});
+  }
+  const Reader outside = root.sub("outside");
+  out.cloud = outside.address("cloud");
+  out.state = outside.address("state");
+  const Reader settings = root.sub("settings");
+  out.zones = settings.texts("zones");
+  out.skew_s = settings.number_or("skew_ms", 0, 0) / 1000;
+  for (const Reader& item : settings.tables("teams")) {
+    Team team;
+    team.name = item.text("name");
+    team.cpus = item.number_or("cpus", 0, 0);
+    team.cpus_max = item.number("cpus_max", 0);
+    team.gpus = item.number_or("gpus", 0, 0);
+    team.gpus_max = item.number_or("gpus_max", 0, 0);
+    out.teams.push_back(team);
+  }
+  for (const Reader& item : settings.tables("objectives")) {
+    Objective goal;
+    goal.kind = item.text("kind");
+    goal.workload = item.has("class") ? item.text("class") : "";
+    goal.share = item.number_or("share", 0, 0);
+    goal.within_s = item.number_or("within_s", 0, 0);
+    out.objectives.push_back(goal);
+  }
+  const Reader workers = settings.sub("workers");
+  out.report_s = workers.number("report_s", 0.01);
+  out.lease_s = workers.number("lease_s", 0.1);
+  out.cancel_s = workers.number("cancel_s", 0.1);
+  const Reader state = settings.sub("state");
+  out.state_rps = state.number("rps", 1);
+  out.state_write_rps = state.number("write_rps", 1);
+  out.value_kb = state.number("value_kb", 1);
+  out.txn_ops = static_cast<int>(state.number("txn_ops", 4));
+  const Reader cloud = settings.sub("cloud");
+  out.cloud_rps = cloud.number("rps", 0.1);
+  out.list_lag_s = cloud.number("list_lag_s", 0);
+  if (settings.has("machine_limits")) {
+    const Reader limits = settings.sub("machine_limits");
+    out.cpu_share = limits.number_or("cpu_share", 0, 1);
+    out.mem_mb = limits.number_or("mem_mb", 0, 0);
+    out.max_sockets = static_cast<int>(limits.number_or("max_sockets", 0, 0));
+  }
+  return out;
+}
+
+void parse_tuning(const std::string& text, const std::string& name, Tuning& tuning) {
+  const INIReader ini(text.c_str(), text.size());
+  if (ini.ParseError() != 0)
+    throw SettingsError(name + ": line " + std::to_string(ini.ParseError()) + ": not INI");
+  const std::map<std::string, double*> fields = {
+      {"fleet.spot_share_most", &tuning.spot_share_most},
+      {"fleet.idle_return_s", &tuning.idle_return_s},
+      {"fleet.headroom", &tuning.headroom},
+      {"preference.fitness", &tuning.weight_fitness},
+      {"preference.urgency", &tuning.weight_urgency},
+      {"preference.alignment", &tuning.weight_alignment},
+      {"preference.slack", &tuning.weight_slack},
+      {"preference.locality", &tuning.weight_locality},
+  };
+  for (const auto& [key, field] : fields) {
+    const auto dot = key.find('.');
+    const std::string given = ini.Get(key.substr(0, dot), key.substr(dot + 1), "");
+    if (given.empty()) continue;
+    char* end = nullptr;
+    const double value = std::strtod(given.c_str(), &end);
+    if (*end != '\0' || !std::isfinite(value) || value < 0) {
+      throw SettingsError(name + ": " + key + ": must be a number of at least 0");
+    }
+    *field = value;
+  }
+}
+
+Settings load_settings(const std::string& file, const std::string& ini) {
+  Settings out = parse_settings(read_file(file), file);
+  if (!ini.empty()) parse_tuning(read_file(ini), ini, out.tuning);
+  return out;
+}
+
+}  // namespace mothslip
--- /dev/null
+++ b/src/protocol/settings.hpp
@@ -0,0 +1,82 @@
+// The settings file that the platform hands over (TOML), and the operators' own optional one (INI).
+#pragma once
+
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace mothslip {
+
+struct Member {
+  std::string node;
+  std::string area;
+  std::string address;  // its `back` listener
+};
+
+struct Team {
+  std::string name;
+  double cpus = 0;
+  double cpus_max = 0;
+  double gpus = 0;
+  double gpus_max = 0;
+};
+
+struct Objective {
+  std::string kind;
+  std::string workload;  // empty: for all
+  double share = 0;
+  double within_s = 0;
+};
+
+// What operators may change in `mothslip.ini` beside the settings file; every value has a default.
+struct Tuning {
+  double spot_share_most = 1.0;   // share of rented cores that may be spot
+  double idle_return_s = 45.0;    // a machine idle this long may be returned
+  double headroom = 0.15;         // idle capacity kept, as a share of recent use
+  double weight_fitness = 0.2;    // HaSTE-A
+  double weight_urgency = 0.2;    // HaSTE-A
+  double weight_alignment = 0.6;  // HaSTE-A
+  double weight_slack = 1.0;      // ours: deadline pressure
+  double weight_locality = 0.3;   // ours: image already on the machine
+};
+
+struct Settings {
+  std::string node;
+  std::string area;
+  std::string front;
+  std::string back;
+  std::vector<Member> members;  // the others
+  std::string cloud;
+  std::string state;
+  std::vector<std::string> zones;
+  double skew_s = 0;
+  std::vector<Team> teams;
+  std::vector<Objective> objectives;
+  double report_s = 2;
+  double lease_s = 15;
+  double cancel_s = 40;
+  double state_rps = 50;
+  double state_write_rps = 15;
+  double value_kb = 8;
+  int txn_ops = 12;
+  double cloud_rps = 2;
+  double list_lag_s = 3;
+  double cpu_share = 1;
+  double mem_mb = 0;
+  int max_sockets = 0;
+  Tuning tuning;
+
+  [[nodiscard]] int team_index(const std::string& name) const;
+};
+
+class SettingsError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+// Throws SettingsError with one line that names file and field. `ini` may be empty.
+Settings load_settings(const std::string& file, const std::string& ini);
+Settings parse_settings(const std::string& text, const std::string& name);
+void parse_tuning(const std::string& text, const std::string& name, Tuning& tuning);
+
+}  // namespace mothslip
--- /dev/null
+++ b/src/transport/http_server.cpp
@@ -0,0 +1,81 @@
+#include "transport/http_server.hpp"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+#include <memory>
+#include <stdexcept>
+
+namespace mothslip {
+
+namespace {
+constexpr std::size_t kMaxBody = 64 * 1024;
+constexpr std::size_t kMaxHeaders = 8 * 1024;
+constexpr int kIdleSeconds = 45;
+
+const char* method_name(evhttp_cmd_type type) {
+  switch (type) {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_POST:
+      return "POST";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
+    case EVHTTP_REQ_PUT:
+      return "PUT";
+    case EVHTTP_REQ_HEAD:
+      return "HEAD";
+    default:
+      return "OTHER";
+  }
+}
+}  // namespace
+
+HttpServer::HttpServer(event_base* base, const std::string& address, HttpHandler handler)
+    : http_(evhttp_new(base)), handler_(std::move(handler)) {
+  const auto colon = address.rfind(':');
+  if (http_ == nullptr || colon == std::string::npos)
+    throw std::runtime_error("bad listen address " + address);
+  evhttp_set_allowed_methods(http_, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_DELETE | EVHTTP_REQ_PUT |
+                                        EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH | EVHTTP_REQ_OPTIONS);
+  evhttp_set_max_body_size(http_, kMaxBody);
+  evhttp_set_max_headers_size(http_, kMaxHeaders);
+  evhttp_set_timeout(http_, kIdleSeconds);
+  evhttp_set_default_content_type(http_, "application/json");
+  evhttp_set_gencb(http_, &HttpServer::on_request, this);
+  const std::string host = address.substr(0, colon);
+  const auto port = static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)));
+  if (evhttp_bind_socket_with_handle(http_, host.c_str(), port) == nullptr) {
+    evhttp_free(http_);
+    throw std::runtime_error("cannot listen on " + address);
+  }
+}
+
+HttpServer::~HttpServer() { evhttp_free(http_); }
+
+void HttpServer::on_request(evhttp_request* request, void* arg) {
+  auto* server = static_cast<HttpServer*>(arg);
+  HttpRequest in;
+  in.method = method_name(evhttp_request_get_command(request));
+  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
+  const char* path = uri == nullptr ? nullptr : evhttp_uri_get_path(uri);
+  in.path = path == nullptr ? "" : path;
+  evbuffer* body = evhttp_request_get_input_buffer(request);
+  in.body.resize(evbuffer_get_length(body));
+  if (!in.body.empty()) evbuffer_copyout(body, in.body.data(), in.body.size());
+  // When the peer goes away first, libevent detaches the request and frees it on reply: a late answer is
+  // safe.
+  Responder responder([request](const HttpAnswer& answer) {
+    if (answer.retry_after_s > 0) {
+      evhttp_add_header(evhttp_request_get_output_headers(request), "Retry-After",
+                        std::to_string(answer.retry_after_s).c_str());
+    }
+    const std::unique_ptr<evbuffer, decltype(&evbuffer_free)> out(evbuffer_new(), &evbuffer_free);
+    evbuffer_add(out.get(), answer.body.data(), answer.body.size());
+    evhttp_send_reply(request, answer.status, nullptr, out.get());
+  });
+  server->handler_(std::move(in), std::move(responder));
+}
+
+}  // namespace mothslip
--- /dev/null
+++ b/src/transport/token_bucket.hpp
@@ -0,0 +1,49 @@
+// A token bucket: `rate` tokens a second, at most `burst` saved up.
+#pragma once
+
+#include <algorithm>
+
+namespace mothslip {
+
+class TokenBucket {
+ public:
+  TokenBucket(double rate, double burst, double now) : rate_(rate), burst_(burst), tokens_(burst), at_(now) {}
+
+  void set_rate(double rate, double burst, double now) {
+    refill(now);
+    rate_ = rate;
+    burst_ = burst;
+    tokens_ = std::min(tokens_, burst_);
+  }
+  // A cost above the burst passes when the bucket is full and leaves a debt: it must not starve forever.
+  [[nodiscard]] bool can_take(double cost, double reserve, double now) {
+    refill(now);
+    return tokens_ >= std::min(cost + reserve, burst_);
+  }
+  void take(double cost, double now) {
+    refill(now);
+    tokens_ -= cost;
+  }
+  // Seconds until `can_take` turns true.
+  [[nodiscard]] double wait_s(double cost, double reserve, double now) {
+    refill(now);
+    const double missing = std::min(cost + reserve, burst_) - tokens_;
+    return missing <= 0 ? 0 : missing / std::max(rate_, 1e-9);
+  }
+  void drain(double now) {  // the far side said 429: start from nothing
+    refill(now);
+    tokens_ = std::min(tokens_, 0.0);
+  }
+
+ private:
+  void refill(double now) {
+    if (now > at_) tokens_ = std::min(burst_, tokens_ + rate_ * (now - at_));
+    at_ = std::max(at_, now);
+  }
+  double rate_;
+  double burst_;
+  double tokens_;
+  double at_;
+};
+
+}  // namespace mothslip
--- /dev/null
+++ b/tests/scheduling_test.cpp
@@ -0,0 +1,166 @@
+// The paper's preference, with worked examples, and fleet sizing.
+#include <gtest/gtest.h>
+
+#include "scheduling/preference.hpp"
+#include "scheduling/sizing.hpp"
+
+using namespace mothslip;
+
+namespace {
+Request request(Resources demand) {
+  Request out;
+  out.demand = demand;
+  out.nothing_placed = false;
+  return out;
+}
+
+FleetType type(double cores, double memory, double hourly, double spot) {
+  FleetType out;
+  out.capacity = {cores, memory, 0};
+  out.hourly = hourly;
+  out.spot_price = spot;
+  out.halls = {0, 1};
+  return out;
+}
+
+FleetDemand demand(double cores, int count) {
+  FleetDemand out;
+  out.demand = {cores, cores, 0};
+  out.count = count;
+  out.prompt = true;
+  return out;
+}
+}  // namespace
+
+// Section 3.4.1: <10 GB, 6 cores> takes three tasks of type II and one of type I, and is then full.
+TEST(Fitness, ThePapersTable) {
+  const Resources one = {3, 1, 0};  // type I: cores, GB
+  const Resources two = {1, 3, 0};  // type II
+  const Resources weights = {1, 1, 0};
+  Resources room = {6, 10, 0};
+  const double expected[][2] = {{28, 36}, {22, 26}, {16, 16}, {6, 10}};
+  PreferenceWeights w;
+  w.urgency = w.alignment = 0;
+  w.resource = weights;
+  int taken[2] = {0, 0};
+  const int order[] = {1, 1, 0, 1};  // at <4,4> both score 16: the paper leaves the tie open
+  for (int step = 0; step < 4; step++) {
+    EXPECT_DOUBLE_EQ(fitness(one, room, weights), expected[step][0]);
+    EXPECT_DOUBLE_EQ(fitness(two, room, weights), expected[step][1]);
+    const int best = choose(room, {request(one), request(two)}, w);
+    ASSERT_EQ(best, order[step]);
+    const Resources& chosen = best == 0 ? one : two;
+    for (std::size_t r = 0; r < 3; r++) room[r] -= chosen[r];
+    taken[best]++;
+  }
+  EXPECT_EQ(taken[0], 1);
+  EXPECT_EQ(taken[1], 3);
+  EXPECT_EQ(room, (Resources{0, 0, 0}));
+  EXPECT_EQ(choose(room, {request(one), request(two)}, w), -1);
+}
+
+TEST(Preference, TermsAreMinMaxNormalisedAndWeighted) {
+  Request a = request({4, 4, 0});
+  Request b = request({1, 1, 0});
+  Request c = request({2, 2, 0});
+  b.assigned_share = 0.5;
+  b.held = {8, 8, 0};
+  c.assigned_share = 0.25;
+  c.held = {8, 8, 0};
+  c.stages = 3;
+  c.stages_finished = 1;
+  const PreferenceWeights w;  // 0.2, 0.2, 0.6
+  const auto p = preferences({8, 8, 0}, {a, b, c}, w);
+  // F: 64, 16, 32; U: 0, 8, 4; A: 1/5, 1/5, 4/5.
+  EXPECT_NEAR(p[0], 0.2, 1e-12);
+  EXPECT_NEAR(p[1], 0.2, 1e-12);
+  EXPECT_NEAR(p[2], 0.2 / 3 + 0.1 + 0.6, 1e-12);
+}
+
+TEST(Preference, AFlatTermAddsNothing) {
+  Request a = request({2, 2, 0});
+  Request b = request({1, 1, 0});
+  const auto p = preferences({8, 8, 0}, {a, b}, {});
+  EXPECT_DOUBLE_EQ(p[0], 0.2) << "urgency and alignment are the same for both";
+  EXPECT_DOUBLE_EQ(p[1], 0);
+  EXPECT_DOUBLE_EQ(preferences({8, 8, 0}, {a}, {})[0], 0);
+}
+
+TEST(Preference, WhatDoesNotFitIsNotListed) {
+  Request big = request({9, 1, 0});
+  Request small = request({1, 1, 0});
+  EXPECT_EQ(choose({8, 8, 0}, {big, small}, {}), 1);
+  EXPECT_EQ(choose({0.5, 8, 0}, {big, small}, {}), -1);
+}
+
+TEST(Preference, AJobWithNothingPlacedGoesFirstWithinItsRank) {
+  Request large = request({4, 4, 0});
+  Request fresh = request({1, 1, 0});
+  fresh.nothing_placed = true;
+  EXPECT_EQ(choose({8, 8, 0}, {large, fresh}, {}), 1);
+  large.rank = 1;
+  EXPECT_EQ(choose({8, 8, 0}, {large, fresh}, {}), 0) << "a higher rank comes before";
+}
+
+TEST(Preference, DeadlinePressureGrowsAsTimeRunsOut) {
+  EXPECT_DOUBLE_EQ(deadline_pressure(1000, 10), 0);
+  EXPECT_DOUBLE_EQ(deadline_pressure(10, 10), 1);
+  EXPECT_DOUBLE_EQ(deadline_pressure(-5, 10), 1);
+  EXPECT_DOUBLE_EQ(deadline_pressure(25, 10), 0.5);
+}
+
+TEST(Sizing, RentsTheCheapestThatFitsAndSpreads) {
+  const std::vector<FleetType> types = {type(8, 64, 0.62, 0.19), type(32, 64, 1.71, 0.50)};
+  std::vector<FleetMarket> markets;
+  for (int t : {0, 1}) {
+    for (int hall : {0, 1}) {
+      markets.push_back({t, hall, true, false, 0});
+      markets.push_back({t, hall, false, false, 0});
+    }
+  }
+  auto plan = plan_fleet(types, markets, {}, {demand(16, 4)}, {});
+  int machines = 0;
+  for (const auto& rent : plan.rents) {
+    EXPECT_EQ(rent.type, 1) << "only the large type holds 16 cores";
+    EXPECT_TRUE(rent.spot);
+    machines += rent.count;
+  }
+  EXPECT_EQ(machines, 2);
+
+  for (auto& market : markets) market.refused = market.spot;
+  plan = plan_fleet(types, markets, {}, {demand(16, 2)}, {});
+  ASSERT_EQ(plan.rents.size(), 1u);
+  EXPECT_FALSE(plan.rents[0].spot) << "ordinary ones when spot is refused";
+
+  for (auto& market : markets) market.refused = true;
+  plan = plan_fleet(types, markets, {}, {demand(16, 2)}, {});
+  EXPECT_TRUE(plan.rents.empty());
+  EXPECT_DOUBLE_EQ(plan.unmet_cores, 32);
+}
+
+TEST(Sizing, WhatIsFreeOrBootingIsUsedFirst) {
+  const std::vector<FleetType> types = {type(8, 64, 0.62, 0.19)};
+  const std::vector<FleetMarket> markets = {{0, 0, true, false, 0}};
+  FleetMachine machine;
+  machine.room = {8, 64, 0};
+  auto plan = plan_fleet(types, markets, {machine}, {demand(4, 2)}, {});
+  EXPECT_TRUE(plan.rents.empty());
+  EXPECT_EQ(plan.needed_rooms[0], 2);
+  machine.usable = false;
+  plan = plan_fleet(types, markets, {machine}, {demand(4, 2)}, {});
+  ASSERT_EQ(plan.rents.size(), 1u);
+  EXPECT_EQ(plan.rents[0].count, 1);
+}
+
+TEST(Sizing, ADeadlineFarAwayNeedsFewerSlots) {
+  FleetDemand job = demand(4, 40);
+  job.prompt = false;
+  job.guess_s = 20;
+  job.time_left_s = 40 + 4 * 26 + 1;
+  EXPECT_EQ(slots_wanted(job, 40), 10);
+  job.time_left_s = 10;
+  EXPECT_EQ(slots_wanted(job, 40), 40);
+  job.prompt = true;
+  job.time_left_s = 1e9;
+  EXPECT_EQ(slots_wanted(job, 40), 40);
+}
