--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -16,11 +16,19 @@
 constexpr double kBootLate = 1.7;  // times boot_s: no longer counted on
 constexpr double kBootLost = 3.0;  // times boot_s: returned
 constexpr double kSilentExtra =
-    8.0;  // beyond the worker's lease: the tasks are gone, and so may be the machine
+    8.0;                           // beyond the worker's lease: the tasks are gone, and so may be the machine
+constexpr double kPatient = 60.0;  // a job without deadline or wish may wait this long before it costs money
 constexpr int kRentCalls = 3;
 }  // namespace
 
-Fleet::Fleet(Context context) : ctx_(std::move(context)) {}
+Fleet::Fleet(Context context) : ctx_(std::move(context)) {
+  for (const Objective& goal : ctx_.settings->objectives) {
+    if (goal.kind == "guarantee") guarantee_wish_ = std::min(guarantee_wish_, goal.within_s);
+    if (goal.kind != "wait" || goal.workload.empty()) continue;
+    auto [it, fresh] = start_wish_.try_emplace(goal.workload, goal.within_s);
+    if (!fresh) it->second = std::min(it->second, goal.within_s);
+  }
+}
 
 void Fleet::start() { load(); }
 
@@ -40,7 +48,6 @@
                        rentals_.emplace(name, rental);
                        call_rental(name);
                      }
-                     loaded_ = true;
                      last_step_ = ctx_.env->now();
                      next_types_ = ctx_.env->now() + ctx_.env->uniform(5, 15);
                      step();
@@ -189,8 +196,13 @@
       it = rented_.erase(it);
       continue;
     }
-    if (rented.returned && machine == nullptr) {
-      it = rented_.erase(it);
+    if (rented.returned) {
+      // Remembered while lists that lag may still show it.
+      if (machine == nullptr && rented.missing >= 2 && now - rented.returned_at > 2 * lag + 5) {
+        it = rented_.erase(it);
+      } else {
+        ++it;
+      }
       continue;
     }
     if (!rented.returning) {
@@ -234,6 +246,7 @@
                             const auto it = rented_.find(host);
                             if (it != rented_.end()) {
                               it->second.returned = true;
+                              it->second.returned_at = ctx_.env->now();
                               spdlog::info("{} returned", host);
                             }
                             ctx_.part->machine_gone(host);
@@ -270,7 +283,12 @@
     demand.guess_s = spec.guess_s;
     demand.pull_gb = spec.pull_gb;
     if (spec.due_s) demand.time_left_s = job->head.submitted + *spec.due_s - wall;
-    demand.prompt = !spec.due_s.has_value() || spec.urgency >= Urgency::kUrgent;
+    const auto wish = start_wish_.find(spec.workload);
+    if (wish != start_wish_.end()) {
+      demand.start_within_s = wish->second;
+    } else {
+      demand.start_within_s = guarantee_wish_;
+    }
     demand.spot_allowed = spec.loaner;
     if (spec.flavours) {
       demand.types.assign(ctx_.types->all().size(), 0);
@@ -285,6 +303,16 @@
   return out;
 }
 
+// How long a placed task may still hold its room. Estimates are often too low: one that is overdue is taken
+// to need a part of what it has had.
+double Fleet::remaining(const Placement& placement, const FleetType& type, double now) {
+  const JobSpec& spec = placement.job->spec();
+  if (placement.running_since == 0)
+    return spec.guess_s + 0.5 * spec.pull_gb / std::max(0.01, type.pull_gb_per_s);
+  const double ran = now - placement.running_since;
+  return std::max(spec.guess_s - ran, 0.25 * std::max(ran, 4.0));
+}
+
 void Fleet::plan() {
   if (rent_calls_ >= kRentCalls) return;
   const double now = ctx_.env->now();
@@ -319,23 +347,29 @@
   std::vector<FleetMachine> machines;
   std::vector<std::string> names;
   for (const auto& [name, rented] : rented_) {
+    if (rented.returned) continue;
     const Machine* machine = reporting(name);
     FleetMachine out;
     out.type = rented.type;
     out.hall = rented.hall;
     out.spot = rented.spot;
+    const FleetType& type = types[static_cast<std::size_t>(rented.type)];
     if (machine != nullptr) {
-      out.up = true;
-      out.room = machine->room;
       out.usable = machine->type >= 0 && machine->welcome() && !rented.returning &&
                    now - machine->last_heard < lease / 2;
+      out.rooms.push_back({0, machine->room});
+      for (const Placement& placement : machine->placements) {
+        out.rooms.push_back({remaining(placement, type, now), placement.job->demand});
+      }
+      std::sort(out.rooms.begin(), out.rooms.end(),
+                [](const FleetRoom& a, const FleetRoom& b) { return a.at_s < b.at_s; });
     } else {
-      out.room = types[static_cast<std::size_t>(rented.type)].capacity;
-      out.usable = !rented.returning && !rented.failed &&
-                   now - rented.rented_at < kBootLate * types[static_cast<std::size_t>(rented.type)].boot_s;
+      const double age = now - rented.rented_at;
+      out.usable = !rented.returning && !rented.failed && age < kBootLate * type.boot_s;
+      out.rooms.push_back({std::max(2.0, type.boot_s - age), type.capacity});
     }
     for (FleetMarket& market : markets) {
-      if (market.type == out.type && market.hall == out.hall && market.spot == out.spot && !rented.returned) {
+      if (market.type == out.type && market.hall == out.hall && market.spot == out.spot) {
         market.rented++;
       }
     }
@@ -348,7 +382,7 @@
   headroom.demand = {4, 8, 0};
   headroom.count = static_cast<int>(std::ceil(tuning.headroom * used_cores_ / headroom.demand[0]));
   headroom.rank = -1;
-  headroom.prompt = true;
+  headroom.start_within_s = 0.5;
   headroom.spot_only = true;
   wanted.push_back(headroom);
 
@@ -362,14 +396,15 @@
     }
   }
 
-  // Idle machines that the plan does not count on go back, the dearest first, one a step and kind.
+  // Idle machines that the plan does not count on go back, the dearest first, one a step. Spot machines are
+  // cheap to keep, and what they have cached saves the next task its fetch: they are kept longer.
   double best_price = -1;
   std::size_t best = names.size();
   for (std::size_t m = 0; m < names.size(); m++) {
     const Machine* machine = reporting(names[m]);
     if (machine == nullptr || !machines[m].usable || result.needed_rooms[m] > 0) continue;
     if (!machine->placements.empty() || machine->inflight || machine->dirty) continue;
-    if (now - machine->busy_at < tuning.idle_return_s) continue;
+    if (now - machine->busy_at < (machines[m].spot ? tuning.idle_return_s : tuning.idle_ordinary_s)) continue;
     const FleetType& type = types[static_cast<std::size_t>(machines[m].type)];
     const double price = (machines[m].spot ? type.spot_price : type.hourly) / std::max(1.0, type.capacity[0]);
     if (price > best_price) {
--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -46,6 +46,7 @@
     bool failed = false;  // the cloud says so
     bool returning = false;
     bool returned = false;
+    double returned_at = 0;
     std::string why;
   };
   struct Market {
@@ -76,6 +77,7 @@
   void start_return(const std::string& host, Rented& rented, const std::string& why);
   [[nodiscard]] const Machine* reporting(const std::string& host) const;
   [[nodiscard]] std::vector<FleetDemand> demands() const;
+  [[nodiscard]] static double remaining(const Placement& placement, const FleetType& type, double now);
   template <typename F>
   auto alive(F f) {
     return [token = std::weak_ptr<bool>(alive_), f = std::move(f)](auto&&... args) {
@@ -85,7 +87,7 @@
 
   Context ctx_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-  bool loaded_ = false;
+  std::map<std::string, double> start_wish_;  // by workload: tasks are wanted to start within
   int next_name_ = 0;
   std::map<std::string, Rented> rented_;
   std::map<std::string, Rental> rentals_;
@@ -97,7 +99,8 @@
   double next_types_ = 0;
   int rent_calls_ = 0;
   bool return_call_ = false;
-  double used_cores_ = 0;  // smoothed
+  double guarantee_wish_ = 60;  // any job: tasks are wanted to start within, the least that guarantees say
+  double used_cores_ = 0;       // smoothed
   double last_step_ = 0;
 };
 
--- a/src/coordination/part.cpp
+++ b/src/coordination/part.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t kRecentlyEnded = 256;
 constexpr std::size_t kRecordBytes = 6000;  // leave room below the value size
 constexpr std::size_t kBytesPerPlacement = 40;
+constexpr double kUrgencyBonus = 0.5;  // a class of urgency weighs as much as half the pressure of a deadline
+constexpr double kGuaranteeBonus = 0.5;
 constexpr std::size_t kMaxDoneRanges = 700;  // progress text stays well within a value
 enum Slot { kCancelSlot = 0, kLaunchSlot, kDoneSlot, kRestSlot };
 constexpr int kSlotLimit[4] = {2, 3, 2, 1};
@@ -481,11 +483,61 @@
 
 // ---------------------------------------------------------------- filling a machine
 
+// No smaller type would do.
+bool Part::needs_type(const Job& job, int type) const {
+  const JobSpec& spec = job.spec();
+  const double cores = ctx_.types->at(type).cores;
+  for (const MachineType& other : ctx_.types->all()) {
+    if (other.cores >= cores) continue;
+    if (spec.flavours &&
+        std::find(spec.flavours->begin(), spec.flavours->end(), other.name) == spec.flavours->end()) {
+      continue;
+    }
+    if (fits(job.demand, {other.cores, other.memory_gb, other.accelerators})) return false;
+  }
+  return true;
+}
+
+// Greedy filling of freed slices keeps room for large tasks from gathering (DESIGN names it for gangs; large
+// tasks suffer the same). A machine takes no small tasks while a large one waits that no smaller type can
+// hold and that is at least as urgent, or while smaller machines have room for all the small ones.
+bool Part::keeps_for_large(const Machine& machine) const {
+  const double cores = ctx_.types->at(machine.type).cores;
+  double small_waiting = 0;
+  double small_free = 0;
+  bool large = false;
+  int small_urgency = 0;
+  int large_urgency = -1;
+  for (const auto& [ref, job] : jobs_) {
+    if (job->waiting.empty() || job->over()) continue;
+    const int urgency = static_cast<int>(job->spec().urgency);
+    if (needs_type(*job, machine.type)) {
+      if (!fits(job->demand, machine.capacity) || (machine.record.loaner && !job->spec().loaner)) continue;
+      if (!teams_.room(job->team, job->demand)) continue;
+      large = true;
+      large_urgency = std::max(large_urgency, urgency);
+    } else {
+      small_waiting += job->waiting.size() * job->demand[0];
+      small_urgency = std::max(small_urgency, urgency);
+    }
+  }
+  if (small_waiting == 0) return false;
+  if (large && large_urgency >= small_urgency) return true;
+  const double now = ctx_.env->now();
+  for (const auto& [name, other] : machines_) {
+    if (other->type < 0 || !other->welcome() || ctx_.types->at(other->type).cores >= cores) continue;
+    if (now - other->last_heard > 2 * ctx_.settings->report_s) continue;
+    small_free += other->room[0];
+  }
+  return small_free >= 1.2 * small_waiting;
+}
+
 void Part::fill(Machine& machine) {
   const double now = ctx_.env->now();
   if (machine.type < 0 || !machine.welcome() || now < machine.no_fill_until) return;
   if (state_silent() || !ctx_.lease_valid()) return;
   if (!fits({0.01, 0, 0}, machine.room)) return;
+  const bool keep_for_large = keeps_for_large(machine);
   std::vector<Request> requests;
   std::vector<JobPtr> jobs;
   const double wall = ctx_.env->wall();
@@ -501,6 +553,7 @@
       continue;
     }
     if (job->done.range_count() > kMaxDoneRanges) continue;
+    if (keep_for_large && !needs_type(*job, machine.type)) continue;
     Request request;
     request.demand = job->demand;
     request.local = machine.has_image(job->bundle);
@@ -538,7 +591,8 @@
       request.assigned_share = static_cast<double>(job.placed + job.done.size()) / spec.pieces;
       for (std::size_t r = 0; r < 3; r++) request.held[r] = job.demand[r] * job.placed;
       request.nothing_placed = job.placed == 0 && job.done.empty();
-      request.rank = static_cast<int>(spec.urgency) * 2 + (teams_.in_guarantee(job.team, job.demand) ? 1 : 0);
+      request.bonus = kUrgencyBonus * static_cast<int>(spec.urgency) +
+                      (teams_.in_guarantee(job.team, job.demand) ? kGuaranteeBonus : 0);
       i++;
     }
     const int best = choose(machine.room, requests, weights_);
--- a/src/coordination/part.hpp
+++ b/src/coordination/part.hpp
@@ -95,6 +95,8 @@
   void drop_placement(Machine& machine, std::size_t at);
   void requeue(const JobPtr& job, int index, double delay);
   void fill(Machine& machine);
+  [[nodiscard]] bool needs_type(const Job& job, int type) const;
+  [[nodiscard]] bool keeps_for_large(const Machine& machine) const;
   void answer(Machine& machine);
   std::vector<Order> orders_for(Machine& machine);
   void raise_baton(Machine& machine);
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -172,7 +172,7 @@
   if (ini.ParseError() != 0)
     throw SettingsError(name + ": line " + std::to_string(ini.ParseError()) + ": not INI");
   const std::map<std::string, double*> fields = {
-      {"fleet.spot_share_most", &tuning.spot_share_most},
+      {"fleet.idle_ordinary_s", &tuning.idle_ordinary_s},
       {"fleet.idle_return_s", &tuning.idle_return_s},
       {"fleet.headroom", &tuning.headroom},
       {"preference.fitness", &tuning.weight_fitness},
--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -30,9 +30,9 @@
 
 // What operators may change in `mothslip.ini` beside the settings file; every value has a default.
 struct Tuning {
-  double spot_share_most = 1.0;   // share of rented cores that may be spot
-  double idle_return_s = 45.0;    // a machine idle this long may be returned
-  double headroom = 0.15;         // idle capacity kept, as a share of recent use
+  double idle_return_s = 90.0;    // a spot machine idle this long may be returned
+  double idle_ordinary_s = 15.0;  // an ordinary one
+  double headroom = 0.35;         // idle spot capacity kept, as a share of recent use
   double weight_fitness = 0.2;    // HaSTE-A
   double weight_urgency = 0.2;    // HaSTE-A
   double weight_alignment = 0.6;  // HaSTE-A
--- a/src/scheduling/preference.cpp
+++ b/src/scheduling/preference.cpp
@@ -53,7 +53,7 @@
   for (std::size_t i = 0; i < count; i++) {
     if (!fits(requests[i].demand, room)) continue;
     out[i] = weights.fitness * fs.normal(f[i]) + weights.urgency * us.normal(u[i]) +
-             weights.alignment * as.normal(a[i]) + weights.slack * requests[i].pressure +
+             weights.alignment * as.normal(a[i]) + weights.slack * requests[i].pressure + requests[i].bonus +
              (requests[i].local ? weights.locality : 0);
   }
   return out;
@@ -70,9 +70,7 @@
     }
     const Request& mine = requests[i];
     const Request& other = requests[static_cast<std::size_t>(best)];
-    if (mine.rank != other.rank) {
-      if (mine.rank > other.rank) best = static_cast<int>(i);
-    } else if (mine.nothing_placed != other.nothing_placed) {
+    if (mine.nothing_placed != other.nothing_placed) {
       if (mine.nothing_placed) best = static_cast<int>(i);
     } else if (score[i] > score[static_cast<std::size_t>(best)]) {
       best = static_cast<int>(i);
--- a/src/scheduling/preference.hpp
+++ b/src/scheduling/preference.hpp
@@ -37,7 +37,7 @@
   double stages = 1;          // of this job
   double stages_finished = 0;
   bool nothing_placed = true;
-  int rank = 0;         // urgency class and guarantee; higher goes first
+  double bonus = 0;     // urgency class and guarantee (ours)
   double pressure = 0;  // deadline pressure, 0..1 (ours)
   bool local = false;   // the machine has the image already (ours)
 };
--- a/src/scheduling/sizing.cpp
+++ b/src/scheduling/sizing.cpp
@@ -8,17 +8,12 @@
 
 namespace mothslip {
 
-int slots_wanted(const FleetDemand& demand, double start_delay_s) {
-  if (demand.prompt) return demand.count;
-  const double each = std::max(1.0, demand.guess_s);
-  // Estimates are wrong by half: plan as if tasks took longer than said.
-  const double room = (demand.time_left_s - start_delay_s) / (1.3 * each);
-  const int waves = static_cast<int>(std::floor(std::clamp(room, 1.0, 1000.0)));
-  return (demand.count + waves - 1) / waves;
-}
-
 namespace {
 
+constexpr double kNever = std::numeric_limits<double>::infinity();
+constexpr double kGuessSlack = 1.5;  // estimates are wrong by half: plan for tasks that take a little longer
+constexpr double kBootSlack = 1.1;
+
 bool allowed(const FleetDemand& demand, int type, int hall, bool spot) {
   if (spot && !demand.spot_allowed) return false;
   if (!demand.types.empty() && demand.types[static_cast<std::size_t>(type)] == 0) return false;
@@ -33,13 +28,79 @@
   return share;
 }
 
-int put(Resources& room, const Resources& demand, int count) {
-  int placed = 0;
-  while (placed < count && fits(demand, room)) {
-    for (std::size_t r = 0; r < room.size(); r++) room[r] -= demand[r];
-    placed++;
+// The earliest time at which the machine has this much free. Rooms are kept in order of time.
+double earliest(const FleetMachine& machine, const Resources& demand) {
+  Resources sum{};
+  for (const FleetRoom& room : machine.rooms) {
+    for (std::size_t r = 0; r < sum.size(); r++) sum[r] += room.room[r];
+    if (fits(demand, sum)) return room.at_s;
+  }
+  return kNever;
+}
+
+// Takes the demand out of the rooms free by `at`, the latest first: what is free earlier stays for others.
+void take(FleetMachine& machine, Resources demand, double at, double until) {
+  FleetRoom back{until, demand};
+  for (auto it = machine.rooms.rbegin(); it != machine.rooms.rend(); ++it) {
+    if (it->at_s > at) continue;
+    for (std::size_t r = 0; r < demand.size(); r++) {
+      const double part = std::min(demand[r], it->room[r]);
+      it->room[r] -= part;
+      demand[r] -= part;
+    }
   }
-  return placed;
+  const auto place = std::upper_bound(machine.rooms.begin(), machine.rooms.end(), back,
+                                      [](const FleetRoom& a, const FleetRoom& b) { return a.at_s < b.at_s; });
+  machine.rooms.insert(place, back);
+}
+
+struct Spot {
+  int machine = -1;
+  double at = kNever;
+};
+
+// The earliest start; among equals the machine that the task fills most, so that large ones stay free.
+Spot best_machine(const std::vector<FleetType>& types, const std::vector<FleetMachine>& machines,
+                  const FleetDemand& demand) {
+  Spot best;
+  double best_share = 0;
+  for (std::size_t m = 0; m < machines.size(); m++) {
+    const FleetMachine& machine = machines[m];
+    if (!machine.usable || !allowed(demand, machine.type, machine.hall, machine.spot)) continue;
+    const double at = earliest(machine, demand.demand);
+    if (at > best.at || at == kNever) continue;
+    const double share = dominant(demand.demand, types[static_cast<std::size_t>(machine.type)].capacity);
+    if (at < best.at || share > best_share) {
+      best = {static_cast<int>(m), at};
+      best_share = share;
+    }
+  }
+  return best;
+}
+
+// The market with the least price for what the tasks would use of it; where we have few machines first, so
+// that they spread over zones.
+int best_market(const std::vector<FleetType>& types, const std::vector<FleetMarket>& markets,
+                const FleetDemand& demand, int left) {
+  int best = -1;
+  double best_price = kNever;
+  for (std::size_t i = 0; i < markets.size(); i++) {
+    const FleetMarket& market = markets[i];
+    if (market.refused || (demand.spot_only && !market.spot)) continue;
+    if (!allowed(demand, market.type, market.hall, market.spot)) continue;
+    const FleetType& type = types[static_cast<std::size_t>(market.type)];
+    if (!fits(demand.demand, type.capacity)) continue;
+    const double share = std::max(dominant(demand.demand, type.capacity), 1e-6);
+    const double used = std::min(std::floor(1 / share + 1e-6), static_cast<double>(left));
+    // Room that this job leaves free is worth half: others may use it.
+    const double worth = used + 0.5 * (1 / share - used);
+    const double price = (market.spot ? type.spot_price : type.hourly) / worth * (1 + 0.01 * market.rented);
+    if (price < best_price) {
+      best_price = price;
+      best = static_cast<int>(i);
+    }
+  }
+  return best;
 }
 
 }  // namespace
@@ -49,64 +110,47 @@
                      const FleetLimits& limits) {
   FleetPlan plan;
   plan.needed_rooms.assign(machines.size(), 0);
-  // Big tasks first within a rank: they have the fewest places to go.
-  std::sort(demands.begin(), demands.end(), [](const FleetDemand& a, const FleetDemand& b) {
+  std::stable_sort(demands.begin(), demands.end(), [](const FleetDemand& a, const FleetDemand& b) {
     if (a.rank != b.rank) return a.rank > b.rank;
-    return a.demand > b.demand;
+    return a.time_left_s < b.time_left_s;
   });
   std::map<std::tuple<int, int, bool>, int> rents;
-  int machine_count = static_cast<int>(machines.size());
-  int at_once = 0;
   const std::size_t known = machines.size();
+  int at_once = 0;
   for (const FleetDemand& demand : demands) {
-    double boot = 60;
-    for (const FleetType& type : types) boot = std::min(boot, type.boot_s);
-    int left = slots_wanted(demand, boot);
-    for (std::size_t m = 0; m < machines.size() && left > 0; m++) {
-      FleetMachine& machine = machines[m];
-      if (!machine.usable || !allowed(demand, machine.type, machine.hall, machine.spot)) continue;
-      const int placed = put(machine.room, demand.demand, left);
-      left -= placed;
-      if (m < known) plan.needed_rooms[m] += placed;
-    }
-    while (left > 0 && machine_count < limits.most_machines && at_once < limits.most_at_once) {
-      // The market with the least price for what the tasks would use of it; fewer of ours first, so that
-      // machines spread over zones.
-      int best = -1;
-      double best_price = std::numeric_limits<double>::infinity();
-      for (std::size_t i = 0; i < markets.size(); i++) {
-        const FleetMarket& market = markets[i];
-        if (demand.spot_only && !market.spot) continue;
-        if (market.refused || !allowed(demand, market.type, market.hall, market.spot)) continue;
-        const FleetType& type = types[static_cast<std::size_t>(market.type)];
-        if (!fits(demand.demand, type.capacity)) continue;
-        const double share = dominant(demand.demand, type.capacity);
-        const double per_machine = std::floor(1 / std::max(share, 1e-6) + 1e-6);
-        const double used = std::min(per_machine, static_cast<double>(left));
-        // Room that this job leaves free is worth half: others may use it.
-        const double worth = used + 0.5 * (1 / std::max(share, 1e-6) - used);
-        const double price =
-            (market.spot ? type.spot_price : type.hourly) / worth * (1 + 0.01 * market.rented);
-        if (price < best_price) {
-          best_price = price;
-          best = static_cast<int>(i);
+    const double run = kGuessSlack * std::max(1.0, demand.guess_s);
+    for (int left = demand.count; left > 0; left--) {
+      const Spot here = best_machine(types, machines, demand);
+      const double latest = std::min(demand.start_within_s, demand.time_left_s - run);
+      if (here.at > latest && static_cast<int>(machines.size()) < limits.most_machines &&
+          at_once < limits.most_at_once) {
+        const int at = best_market(types, markets, demand, left);
+        if (at >= 0) {
+          FleetMarket& market = markets[static_cast<std::size_t>(at)];
+          const FleetType& type = types[static_cast<std::size_t>(market.type)];
+          const double ready = kBootSlack * type.boot_s + demand.pull_gb / std::max(0.01, type.pull_gb_per_s);
+          // Worth it when it comes in time, or when waiting here takes much longer than a new machine does.
+          const bool in_time = ready <= demand.time_left_s - run && ready < here.at;
+          if (in_time || 2 * ready < here.at) {
+            market.rented++;
+            rents[{market.type, market.hall, market.spot}]++;
+            FleetMachine fresh;
+            fresh.type = market.type;
+            fresh.hall = market.hall;
+            fresh.spot = market.spot;
+            fresh.rooms.push_back({ready, type.capacity});
+            take(fresh, demand.demand, ready, ready + run);
+            machines.push_back(std::move(fresh));
+            at_once++;
+            continue;
+          }
         }
       }
-      if (best < 0) break;
-      FleetMarket& market = markets[static_cast<std::size_t>(best)];
-      market.rented++;
-      rents[{market.type, market.hall, market.spot}]++;
-      FleetMachine fresh;
-      fresh.type = market.type;
-      fresh.hall = market.hall;
-      fresh.spot = market.spot;
-      fresh.room = types[static_cast<std::size_t>(market.type)].capacity;
-      left -= put(fresh.room, demand.demand, left);
-      machines.push_back(fresh);
-      machine_count++;
-      at_once++;
+      if (here.machine < 0) break;
+      take(machines[static_cast<std::size_t>(here.machine)], demand.demand, here.at, here.at + run);
+      if (static_cast<std::size_t>(here.machine) < known)
+        plan.needed_rooms[static_cast<std::size_t>(here.machine)]++;
     }
-    plan.unmet_cores += left * demand.demand[0];
   }
   for (const auto& [where, count] : rents) {
     plan.rents.push_back({std::get<0>(where), std::get<1>(where), std::get<2>(where), count});
--- a/src/scheduling/sizing.hpp
+++ b/src/scheduling/sizing.hpp
@@ -26,13 +26,18 @@
   int rented = 0;  // machines of ours from here
 };
 
+// Room that becomes free at some time from now (0: is free).
+struct FleetRoom {
+  double at_s = 0;
+  Resources room{};
+};
+
 struct FleetMachine {
   int type = 0;
   int hall = 0;
   bool spot = false;
-  bool up = false;     // false: rented, not reporting yet
-  Resources room{};    // what is free on it (booting: everything)
-  bool usable = true;  // false: draining, sick or silent
+  bool usable = true;            // false: draining, sick or silent
+  std::vector<FleetRoom> rooms;  // booting: everything, at the expected time
 };
 
 // Waiting tasks of one job.
@@ -42,11 +47,11 @@
   int rank = 0;
   double guess_s = 30;
   double pull_gb = 0;
-  double time_left_s = 1e9;  // until the deadline; huge: none
-  bool prompt = false;       // tasks are wanted at once, not only done by a deadline
+  double time_left_s = 1e9;     // until the deadline; huge: none
+  double start_within_s = 1e9;  // tasks are wanted to start within this time; huge: does not matter
   bool spot_allowed = true;
   bool spot_only = false;   // not worth an ordinary machine
-  std::vector<char> types;  // allowed types, by index
+  std::vector<char> types;  // allowed types, by index; empty: all
   int hall = -1;            // the only hall, or -1
 };
 
@@ -58,7 +63,6 @@
     int count = 0;
   };
   std::vector<Rent> rents;
-  double unmet_cores = 0;         // demand for which no market is left
   std::vector<int> needed_rooms;  // per machine: tasks of the demand put there in thought
 };
 
@@ -67,11 +71,10 @@
   int most_at_once = 40;
 };
 
+// Puts the waiting tasks, most urgent first, where they could start earliest on what there is; where that is
+// too late for their deadline or their wait, and a new machine would start them in time, rents the cheapest.
 FleetPlan plan_fleet(const std::vector<FleetType>& types, std::vector<FleetMarket> markets,
                      std::vector<FleetMachine> machines, std::vector<FleetDemand> demands,
                      const FleetLimits& limits);
 
-// How many tasks of a job have to run side by side for it to be done in time.
-int slots_wanted(const FleetDemand& demand, double start_delay_s);
-
 }  // namespace mothslip
--- a/tests/scheduling_test.cpp
+++ b/tests/scheduling_test.cpp
@@ -27,7 +27,7 @@
   FleetDemand out;
   out.demand = {cores, cores, 0};
   out.count = count;
-  out.prompt = true;
+  out.start_within_s = 5;
   return out;
 }
 }  // namespace
@@ -93,13 +93,15 @@
   EXPECT_EQ(choose({0.5, 8, 0}, {big, small}, {}), -1);
 }
 
-TEST(Preference, AJobWithNothingPlacedGoesFirstWithinItsRank) {
+TEST(Preference, AJobWithNothingPlacedGoesFirst) {
   Request large = request({4, 4, 0});
   Request fresh = request({1, 1, 0});
   fresh.nothing_placed = true;
   EXPECT_EQ(choose({8, 8, 0}, {large, fresh}, {}), 1);
-  large.rank = 1;
-  EXPECT_EQ(choose({8, 8, 0}, {large, fresh}, {}), 0) << "a higher rank comes before";
+  fresh.nothing_placed = false;
+  EXPECT_EQ(choose({8, 8, 0}, {large, fresh}, {}), 0) << "then the larger fit, as in the paper";
+  fresh.bonus = 0.5;
+  EXPECT_EQ(choose({8, 8, 0}, {large, fresh}, {}), 1) << "and a more urgent class outweighs it";
 }
 
 TEST(Preference, DeadlinePressureGrowsAsTimeRunsOut) {
@@ -135,32 +137,41 @@
   for (auto& market : markets) market.refused = true;
   plan = plan_fleet(types, markets, {}, {demand(16, 2)}, {});
   EXPECT_TRUE(plan.rents.empty());
-  EXPECT_DOUBLE_EQ(plan.unmet_cores, 32);
 }
 
 TEST(Sizing, WhatIsFreeOrBootingIsUsedFirst) {
   const std::vector<FleetType> types = {type(8, 64, 0.62, 0.19)};
   const std::vector<FleetMarket> markets = {{0, 0, true, false, 0}};
   FleetMachine machine;
-  machine.room = {8, 64, 0};
+  machine.rooms = {{0, {8, 64, 0}}};
   auto plan = plan_fleet(types, markets, {machine}, {demand(4, 2)}, {});
   EXPECT_TRUE(plan.rents.empty());
   EXPECT_EQ(plan.needed_rooms[0], 2);
+  machine.rooms = {{10, {8, 64, 0}}};
+  plan = plan_fleet(types, markets, {machine}, {demand(4, 2)}, {});
+  EXPECT_TRUE(plan.rents.empty()) << "a machine that boots soon is earlier than a new one";
   machine.usable = false;
   plan = plan_fleet(types, markets, {machine}, {demand(4, 2)}, {});
   ASSERT_EQ(plan.rents.size(), 1u);
   EXPECT_EQ(plan.rents[0].count, 1);
 }
 
-TEST(Sizing, ADeadlineFarAwayNeedsFewerSlots) {
-  FleetDemand job = demand(4, 40);
-  job.prompt = false;
+TEST(Sizing, NothingIsRentedForADeadlineThatIsMetAnyway) {
+  const std::vector<FleetType> types = {type(8, 64, 0.62, 0.19)};  // boots in 30 s
+  const std::vector<FleetMarket> markets = {{0, 0, false, false, 0}};
+  FleetMachine busy;
+  busy.rooms = {{0, {0, 60, 0}}, {20, {8, 0, 0}}};  // its cores come free in 20 s
+  FleetDemand job = demand(8, 3);                   // one after the other: they end at 50, 80 and 110 s
+  job.start_within_s = 1e9;
   job.guess_s = 20;
-  job.time_left_s = 40 + 4 * 26 + 1;
-  EXPECT_EQ(slots_wanted(job, 40), 10);
-  job.time_left_s = 10;
-  EXPECT_EQ(slots_wanted(job, 40), 40);
-  job.prompt = true;
-  job.time_left_s = 1e9;
-  EXPECT_EQ(slots_wanted(job, 40), 40);
+  job.time_left_s = 111;
+  EXPECT_TRUE(plan_fleet(types, markets, {busy}, {job}, {}).rents.empty());
+  job.time_left_s = 109;
+  const auto plan = plan_fleet(types, markets, {busy}, {job}, {});
+  ASSERT_EQ(plan.rents.size(), 1u);
+  EXPECT_EQ(plan.rents[0].count, 1);
+  job.count = 1;
+  job.time_left_s = 40;
+  EXPECT_TRUE(plan_fleet(types, markets, {busy}, {job}, {}).rents.empty())
+      << "a new machine would be late too";
 }
