--- a/src/bookkeeping/ledger.hpp
+++ b/src/bookkeeping/ledger.hpp
@@ -90,6 +90,7 @@
   double busy_at = 0;  // last time it had a placement
   std::optional<double> warned_at;
   bool draining = false;
+  bool winding = false;  // takes nothing new, for now
   bool sick = false;
   int error_streak = 0;
   std::vector<std::string> errors_of;  // jobs behind the streak
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -18,7 +18,9 @@
 constexpr double kSilentExtra =
     8.0;                           // beyond the worker's lease: the tasks are gone, and so may be the machine
 constexpr double kPatient = 60.0;  // a job without deadline or wish may wait this long before it costs money
-constexpr int kRentCalls = 3;
+constexpr double kNoteEvery = 10.0;
+constexpr double kWindReserve = 0.2;  // of recent use, free on the other machines
+constexpr int kRentCalls = 8;
 }  // namespace
 
 Fleet::Fleet(Context context) : ctx_(std::move(context)) {
@@ -58,7 +60,9 @@
   const double now = ctx_.env->now();
   if (ctx_.part->active() && ctx_.lease_valid()) {
     double used = 0;
-    for (const auto& [ref, job] : ctx_.part->jobs()) used += job->placed * job->demand[0];
+    for (const auto& [ref, job] : ctx_.part->jobs()) {
+      if (!job->over()) used += (job->placed + job->waiting.size()) * job->demand[0];
+    }
     const double weight = std::min(1.0, (now - last_step_) / kSmooth);
     used_cores_ += (used - used_cores_) * weight;
     note_reporting();
@@ -388,6 +392,34 @@
 
   const FleetPlan result = plan_fleet(types, markets, machines, wanted, FleetLimits{});
 
+  if (now >= next_note_) {
+    next_note_ = now + kNoteEvery;
+    int up = 0;
+    int booting = 0;
+    double free = 0;
+    double total = 0;
+    for (std::size_t m = 0; m < names.size(); m++) {
+      const Machine* machine = reporting(names[m]);
+      if (machine == nullptr) {
+        booting++;
+        continue;
+      }
+      up++;
+      free += machine->room[0];
+      total += machine->capacity[0];
+    }
+    double waiting = 0;
+    int jobs = 0;
+    for (const auto& [ref, job] : ctx_.part->jobs()) {
+      if (job->over()) continue;
+      waiting += (job->waiting.size() + static_cast<double>(job->backoff.size())) * job->demand[0];
+      jobs++;
+    }
+    spdlog::info(
+        "fleet: {} up, {} booting, {:.0f} of {:.0f} cores free; {} jobs, {:.0f} cores waiting, use {:.0f}",
+        up, booting, free, total, jobs, waiting, used_cores_);
+  }
+
   // Nothing is rented before a first look at what there is, unless nothing can be there.
   if (list_complete_) {
     for (const FleetPlan::Rent& each : result.rents) {
@@ -396,6 +428,8 @@
     }
   }
 
+  wind_down(names, machines, types);
+
   // Idle machines that the plan does not count on go back, the dearest first, one a step. Spot machines are
   // cheap to keep, and what they have cached saves the next task its fetch: they are kept longer.
   double best_price = -1;
@@ -415,6 +449,33 @@
   if (best < names.size()) start_return(names[best], rented_[names[best]], "idle");
 }
 
+// An ordinary machine that always gets some task never falls idle. When the others have room for all that
+// waits and a reserve without it, it takes nothing new; when work waits again, it does.
+void Fleet::wind_down(const std::vector<std::string>& names, const std::vector<FleetMachine>& machines,
+                      const std::vector<FleetType>& types) {
+  double waiting = 0;
+  for (const auto& [ref, job] : ctx_.part->jobs()) {
+    if (!job->over()) waiting += job->waiting.size() * job->demand[0];
+  }
+  std::vector<std::pair<double, std::size_t>> ordinary;
+  double free = 0;
+  for (std::size_t m = 0; m < names.size(); m++) {
+    const Machine* machine = reporting(names[m]);
+    if (machine == nullptr || !machines[m].usable) continue;
+    free += std::max(0.0, machine->room[0]);
+    const FleetType& type = types[static_cast<std::size_t>(machines[m].type)];
+    if (!machines[m].spot) ordinary.emplace_back(-type.hourly / std::max(1.0, type.capacity[0]), m);
+  }
+  std::sort(ordinary.begin(), ordinary.end());
+  const double reserve = kWindReserve * used_cores_;
+  for (const auto& [price, m] : ordinary) {
+    const double own = std::max(0.0, reporting(names[m])->room[0]);
+    const bool wind = free - own - waiting > reserve;
+    if (wind) free -= own;
+    ctx_.part->set_winding(names[m], wind);
+  }
+}
+
 // ---------------------------------------------------------------- renting
 
 void Fleet::rent(const FleetPlan::Rent& wanted) {
--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -69,6 +69,8 @@
   void note_reporting();
   void judge();
   void plan();
+  void wind_down(const std::vector<std::string>& names, const std::vector<FleetMachine>& machines,
+                 const std::vector<FleetType>& types);
   void rent(const FleetPlan::Rent& rent);
   void record_rental(const std::string& name);
   void call_rental(const std::string& name);
@@ -102,6 +104,7 @@
   double guarantee_wish_ = 60;  // any job: tasks are wanted to start within, the least that guarantees say
   double used_cores_ = 0;       // smoothed
   double last_step_ = 0;
+  double next_note_ = 0;
 };
 
 }  // namespace mothslip
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -282,9 +282,10 @@
   for (const auto& [index, part] : parts_) {
     const auto& c = part->counters();
     spdlog::info(
-        "part {}: reports {}, launches {}, again {}, done {}, errors {}, freed by lease {} session {} return "
+        "part {}: reports {}, launches {}, fetches {}, again {}, done {}, errors {}, freed by lease {} "
+        "session {} return "
         "{}",
-        index, c.reports, c.launches, c.relaunches, c.completions, c.errors, c.freed_by_lease,
+        index, c.reports, c.launches, c.fetches, c.relaunches, c.completions, c.errors, c.freed_by_lease,
         c.freed_by_tenure, c.freed_by_return);
   }
   env_.after(kCountersEvery, [this] { log_counters(); });
--- a/src/coordination/part.cpp
+++ b/src/coordination/part.cpp
@@ -534,7 +534,7 @@
 
 void Part::fill(Machine& machine) {
   const double now = ctx_.env->now();
-  if (machine.type < 0 || !machine.welcome() || now < machine.no_fill_until) return;
+  if (machine.type < 0 || !machine.welcome() || machine.winding || now < machine.no_fill_until) return;
   if (state_silent() || !ctx_.lease_valid()) return;
   if (!fits({0.01, 0, 0}, machine.room)) return;
   const bool keep_for_large = keeps_for_large(machine);
@@ -608,6 +608,10 @@
     job->placed_by_hall[machine.hall]++;
     teams_.add(job->team, job->demand);
     for (std::size_t r = 0; r < 3; r++) machine.room[r] -= job->demand[r];
+    if (!machine.has_image(job->bundle)) {
+      counters_.fetches++;
+      machine.use_image(job->bundle, job->spec().pull_gb, type.cache_gb);
+    }
     machine.placements.push_back(std::move(placement));
     machine.dirty = true;
     machine.busy_at = now;
@@ -749,6 +753,11 @@
   ctx_.env->after(kTick, alive([this] { tick(); }));
 }
 
+void Part::set_winding(const std::string& host, bool winding) {
+  const auto it = machines_.find(host);
+  if (it != machines_.end()) it->second->winding = winding;
+}
+
 void Part::set_draining(const std::string& host, bool draining) {
   const auto it = machines_.find(host);
   if (it != machines_.end()) it->second->draining = draining;
--- a/src/coordination/part.hpp
+++ b/src/coordination/part.hpp
@@ -63,6 +63,7 @@
   [[nodiscard]] const std::map<std::string, std::unique_ptr<Machine>>& machines() const { return machines_; }
   [[nodiscard]] const std::map<std::string, JobPtr>& jobs() const { return jobs_; }
   [[nodiscard]] const TeamLedger& teams() const { return teams_; }
+  void set_winding(const std::string& host, bool winding);
   void set_draining(const std::string& host, bool draining);
   // The cloud confirmed that the machine and everything on it are gone.
   void machine_gone(const std::string& host);
@@ -70,7 +71,7 @@
   [[nodiscard]] bool state_silent() const;
 
   struct Counters {
-    std::uint64_t reports = 0, launches = 0, completions = 0, errors = 0, freed_by_lease = 0,
+    std::uint64_t reports = 0, launches = 0, completions = 0, fetches = 0, errors = 0, freed_by_lease = 0,
                   freed_by_tenure = 0, freed_by_return = 0, relaunches = 0;
   };
   [[nodiscard]] const Counters& counters() const { return counters_; }
--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -32,12 +32,12 @@
 struct Tuning {
   double idle_return_s = 90.0;    // a spot machine idle this long may be returned
   double idle_ordinary_s = 15.0;  // an ordinary one
-  double headroom = 0.35;         // idle spot capacity kept, as a share of recent use
+  double headroom = 0.8;          // idle spot capacity kept, as a share of recent use
   double weight_fitness = 0.2;    // HaSTE-A
   double weight_urgency = 0.2;    // HaSTE-A
   double weight_alignment = 0.6;  // HaSTE-A
   double weight_slack = 1.0;      // ours: deadline pressure
-  double weight_locality = 0.3;   // ours: image already on the machine
+  double weight_locality = 0.8;   // ours: image already on the machine
 };
 
 struct Settings {
--- a/src/scheduling/sizing.cpp
+++ b/src/scheduling/sizing.cpp
@@ -13,6 +13,7 @@
 constexpr double kNever = std::numeric_limits<double>::infinity();
 constexpr double kGuessSlack = 1.5;  // estimates are wrong by half: plan for tasks that take a little longer
 constexpr double kBootSlack = 1.1;
+constexpr double kWorthWaiting = 1.3;  // a new machine must start the task this much sooner
 
 bool allowed(const FleetDemand& demand, int type, int hall, bool spot) {
   if (spot && !demand.spot_allowed) return false;
@@ -131,7 +132,7 @@
           const double ready = kBootSlack * type.boot_s + demand.pull_gb / std::max(0.01, type.pull_gb_per_s);
           // Worth it when it comes in time, or when waiting here takes much longer than a new machine does.
           const bool in_time = ready <= demand.time_left_s - run && ready < here.at;
-          if (in_time || 2 * ready < here.at) {
+          if (in_time || kWorthWaiting * ready < here.at) {
             market.rented++;
             rents[{market.type, market.hall, market.spot}]++;
             FleetMachine fresh;
