--- a/src/scheduling/sizing.cpp
+++ b/src/scheduling/sizing.cpp
@@ -16,7 +16,7 @@
 constexpr double kWorthWaiting = 1.3;  // a new machine must start the task this much sooner
 
 bool allowed(const FleetDemand& demand, int type, int hall, bool spot) {
-  if (spot && !demand.spot_allowed) return false;
+  if (spot ? !demand.spot_allowed : demand.spot_only) return false;
   if (!demand.types.empty() && demand.types[static_cast<std::size_t>(type)] == 0) return false;
   return demand.hall < 0 || demand.hall == hall;
 }
@@ -87,7 +87,7 @@
   double best_price = kNever;
   for (std::size_t i = 0; i < markets.size(); i++) {
     const FleetMarket& market = markets[i];
-    if (market.refused || (demand.spot_only && !market.spot)) continue;
+    if (market.refused) continue;
     if (!allowed(demand, market.type, market.hall, market.spot)) continue;
     const FleetType& type = types[static_cast<std::size_t>(market.type)];
     if (!fits(demand.demand, type.capacity)) continue;
