--- a/src/coordination/part.cpp
+++ b/src/coordination/part.cpp
@@ -498,13 +498,36 @@
   return true;
 }
 
+// Could go to any machine that is large enough.
+bool Part::flexible(const Job& job) {
+  const JobSpec& spec = job.spec();
+  return spec.loaner && !spec.hall && !spec.flavours && !spec.together && !spec.scatter;
+}
+
+// Whether the rules let one more task of the job onto the machine now, room apart.
+bool Part::allowed_on(const Job& job, const Machine& machine) const {
+  const JobSpec& spec = job.spec();
+  if (machine.record.loaner && !spec.loaner) return false;
+  if (spec.hall && *spec.hall != machine.record.hall) return false;
+  if (spec.flavours && std::find(spec.flavours->begin(), spec.flavours->end(), machine.record.flavour) ==
+                           spec.flavours->end()) {
+    return false;
+  }
+  const auto in_hall = job.placed_by_hall.find(machine.hall);
+  const int here = in_hall == job.placed_by_hall.end() ? 0 : in_hall->second;
+  if (spec.together && job.placed > here) return false;
+  if (spec.scatter && here + 1 > (spec.pieces + 1) / 2) return false;
+  return teams_.room(job.team, job.demand);
+}
+
 // Greedy filling of freed slices keeps room for large tasks from gathering (DESIGN names it for gangs; large
-// tasks suffer the same). A machine takes no small tasks while a large one waits that no smaller type can
-// hold and that is at least as urgent, or while smaller machines have room for all the small ones.
+// tasks suffer the same). A machine takes no small tasks that could go elsewhere while a large one waits that
+// no smaller type can hold and that is at least as urgent, or while smaller machines have room for all of
+// them.
 bool Part::keeps_for_large(const Machine& machine) const {
   const double cores = ctx_.types->at(machine.type).cores;
-  double small_waiting = 0;
-  double small_free = 0;
+  int small_tasks = 0;
+  Resources small_demand{};
   bool large = false;
   int small_urgency = 0;
   int large_urgency = -1;
@@ -512,29 +535,35 @@
     if (job->waiting.empty() || job->over()) continue;
     const int urgency = static_cast<int>(job->spec().urgency);
     if (needs_type(*job, machine.type)) {
-      if (!fits(job->demand, machine.capacity) || (machine.record.loaner && !job->spec().loaner)) continue;
-      if (!teams_.room(job->team, job->demand)) continue;
+      if (!fits(job->demand, machine.capacity) || !allowed_on(*job, machine)) continue;
       large = true;
       large_urgency = std::max(large_urgency, urgency);
-    } else {
-      small_waiting += job->waiting.size() * job->demand[0];
+    } else if (flexible(*job)) {
+      small_tasks += job->waiting.size();
       small_urgency = std::max(small_urgency, urgency);
+      for (std::size_t r = 0; r < 3; r++) small_demand[r] = std::max(small_demand[r], job->demand[r]);
     }
   }
-  if (small_waiting == 0) return false;
+  if (small_tasks == 0) return false;
   if (large && large_urgency >= small_urgency) return true;
   const double now = ctx_.env->now();
+  int slots = 0;
   for (const auto& [name, other] : machines_) {
-    if (other->type < 0 || !other->welcome() || ctx_.types->at(other->type).cores >= cores) continue;
-    if (now - other->last_heard > 2 * ctx_.settings->report_s) continue;
-    small_free += other->room[0];
+    if (other->type < 0 || !other->welcome() || other->winding || ctx_.types->at(other->type).cores >= cores)
+      continue;
+    if (now - other->last_heard > 2 * ctx_.settings->report_s || now < other->no_fill_until) continue;
+    double most = 1e6;
+    for (std::size_t r = 0; r < 3; r++) {
+      if (small_demand[r] > 0) most = std::min(most, other->room[r] / small_demand[r] + 1e-6);
+    }
+    slots += std::max(0, static_cast<int>(most));
   }
-  return small_free >= 1.2 * small_waiting;
+  return slots >= small_tasks;
 }
 
 void Part::fill(Machine& machine) {
   const double now = ctx_.env->now();
-  if (machine.type < 0 || !machine.welcome() || machine.winding || now < machine.no_fill_until) return;
+  if (machine.type < 0 || !machine.welcome() || now < machine.no_fill_until) return;
   if (state_silent() || !ctx_.lease_valid()) return;
   if (!fits({0.01, 0, 0}, machine.room)) return;
   const bool keep_for_large = keeps_for_large(machine);
@@ -546,14 +575,11 @@
     if (job->waiting.empty() || job->over() || !job->cancel_waiters.empty()) continue;
     const JobSpec& spec = job->spec();
     if (!fits(job->demand, machine.room)) continue;
-    if (machine.record.loaner && !spec.loaner) continue;
-    if (spec.hall && *spec.hall != machine.record.hall) continue;
-    if (spec.flavours && std::find(spec.flavours->begin(), spec.flavours->end(), machine.record.flavour) ==
-                             spec.flavours->end()) {
-      continue;
-    }
+    if (!allowed_on(*job, machine)) continue;
+    // Others have room for what can go anywhere; what cannot is still taken.
+    if (machine.winding && flexible(*job) && !needs_type(*job, machine.type)) continue;
     if (job->done.range_count() > kMaxDoneRanges) continue;
-    if (keep_for_large && !needs_type(*job, machine.type)) continue;
+    if (keep_for_large && flexible(*job) && !needs_type(*job, machine.type)) continue;
     Request request;
     request.demand = job->demand;
     request.local = machine.has_image(job->bundle);
@@ -577,11 +603,7 @@
     for (std::size_t i = 0; i < requests.size();) {
       const Job& job = *jobs[i];
       const JobSpec& spec = job.spec();
-      const auto in_hall = job.placed_by_hall.find(machine.hall);
-      const int here = in_hall == job.placed_by_hall.end() ? 0 : in_hall->second;
-      const bool out = job.waiting.empty() || !teams_.room(job.team, job.demand) ||
-                       !fits(job.demand, machine.room) || (spec.together && job.placed > here) ||
-                       (spec.scatter && here + 1 > (spec.pieces + 1) / 2);
+      const bool out = job.waiting.empty() || !fits(job.demand, machine.room) || !allowed_on(job, machine);
       if (out) {
         requests.erase(requests.begin() + static_cast<std::ptrdiff_t>(i));
         jobs.erase(jobs.begin() + static_cast<std::ptrdiff_t>(i));
--- a/src/coordination/part.hpp
+++ b/src/coordination/part.hpp
@@ -97,6 +97,8 @@
   void requeue(const JobPtr& job, int index, double delay);
   void fill(Machine& machine);
   [[nodiscard]] bool needs_type(const Job& job, int type) const;
+  [[nodiscard]] bool allowed_on(const Job& job, const Machine& machine) const;
+  [[nodiscard]] static bool flexible(const Job& job);
   [[nodiscard]] bool keeps_for_large(const Machine& machine) const;
   void answer(Machine& machine);
   std::vector<Order> orders_for(Machine& machine);
--- /dev/null
+++ b/tests/sim/world.cpp
@@ -0,0 +1,778 @@
+#include "sim/world.hpp"
+
+#include <algorithm>
+#include <sstream>
+
+namespace mothslip::sim {
+
+namespace {
+constexpr double kReport = 1.5;
+constexpr double kLease = 12.0;
+constexpr double kCancel = 42.0;
+constexpr double kTeamMax = 48.0;
+const char* const kState = "10.2.0.1:2379";
+const char* const kCloud = "10.2.0.2:8443";
+
+std::string front_of(int node) { return "10.0.0." + std::to_string(node + 1) + ":8080"; }
+std::string back_of(int node) { return "10.0.0." + std::to_string(node + 1) + ":8081"; }
+std::string name_of(int node) { return "roost-" + std::to_string(node); }
+
+Settings settings_for(int node, int nodes) {
+  Settings out;
+  out.node = name_of(node);
+  out.area = "a";
+  out.front = front_of(node);
+  out.back = back_of(node);
+  for (int i = 0; i < nodes; i++) {
+    if (i != node) out.members.push_back({name_of(i), "a", back_of(i)});
+  }
+  out.cloud = kCloud;
+  out.state = kState;
+  out.zones = {"a", "b"};
+  out.teams = {{"red", 24, kTeamMax, 0, 0}, {"blue", 24, kTeamMax, 0, 0}};
+  out.report_s = kReport;
+  out.lease_s = kLease;
+  out.cancel_s = kCancel;
+  out.state_rps = 100;
+  out.state_write_rps = 30;
+  out.txn_ops = 24;
+  out.cloud_rps = 2;
+  out.list_lag_s = 3;
+  return out;
+}
+
+std::string query(const std::string& target, const std::string& field) {
+  const auto mark = target.find('?');
+  if (mark == std::string::npos) return "";
+  std::stringstream in(target.substr(mark + 1));
+  std::string item;
+  while (std::getline(in, item, '&')) {
+    const auto eq = item.find('=');
+    if (item.substr(0, eq) == field) return item.substr(eq + 1);
+  }
+  return "";
+}
+
+bool starts_with(const std::string& text, const std::string& prefix) { return text.rfind(prefix, 0) == 0; }
+}  // namespace
+
+// ---------------------------------------------------------------- a node's environment
+
+NodeEnv::NodeEnv(World& world, std::string node, double drift, double skew)
+    : world_(world), node_(std::move(node)), drift_(drift), skew_(skew) {}
+double NodeEnv::now() const { return 1000 + world_.now * drift_; }
+double NodeEnv::wall() const { return 1.7e9 + world_.now + skew_; }
+std::uint64_t NodeEnv::random() { return world_.rng(); }
+
+TimerId NodeEnv::after(double delay_s, std::function<void()> action) {
+  const TimerId id = next_++;
+  world_.in(std::max(0.0, delay_s) / drift_,
+            [this, id, token = std::weak_ptr<bool>(alive_), action = std::move(action)] {
+              if (token.expired() || cancelled_.erase(id) > 0) return;
+              action();
+            });
+  return id;
+}
+
+void NodeEnv::call(HttpCall request, ReplyHandler handler) {
+  world_.send(node_, request,
+              [token = std::weak_ptr<bool>(alive_), handler = std::move(handler)](HttpReply reply) {
+                if (!token.expired()) handler(std::move(reply));
+              });
+}
+
+// ---------------------------------------------------------------- state service
+
+std::uint64_t StateService::stamp(const std::string& key) const {
+  const auto it = stamps_.find(key);
+  return it == stamps_.end() ? 0 : it->second;
+}
+
+void StateService::set_outage(bool out) {
+  expire();
+  outage_ = out;
+  if (!out) {
+    for (auto& [id, lease] : leases_) lease.ends = world_.now + lease.ttl;  // all get their full time again
+    serve_watches();
+  }
+}
+
+void StateService::erase(const std::string& key) {
+  values_.erase(key);
+  stamps_.erase(key);
+  holds_.erase(key);
+}
+
+void StateService::changed(const std::string& key, Json event) {
+  changes_.push_back({epoch_, key, std::move(event)});
+}
+
+void StateService::expire() {
+  if (outage_) return;
+  for (auto it = leases_.begin(); it != leases_.end();) {
+    if (it->second.ends > world_.now) {
+      ++it;
+      continue;
+    }
+    std::vector<std::string> gone;
+    for (const auto& [key, hold] : holds_) {
+      if (hold == it->first) gone.push_back(key);
+    }
+    if (!gone.empty()) epoch_++;
+    for (const std::string& key : gone) {
+      erase(key);
+      changed(key, {{"delete", key}, {"stamp", epoch_}});
+    }
+    it = leases_.erase(it);
+  }
+  serve_watches();
+}
+
+bool StateService::answer_watch(Watch& watch) {
+  if (outage_) return false;
+  Json events = Json::array();
+  for (const Change& change : changes_) {
+    if (change.revision > watch.from && starts_with(change.key, watch.prefix)) events.push_back(change.event);
+  }
+  if (events.empty()) return false;
+  watch.over = true;
+  watch.reply(200, {{"epoch", epoch_}, {"events", events}});
+  return true;
+}
+
+void StateService::serve_watches() {
+  const auto open = watches_;
+  for (const auto& watch : open) {
+    if (!watch->over) answer_watch(*watch);
+  }
+  std::erase_if(watches_, [](const auto& watch) { return watch->over; });
+}
+
+void StateService::handle(const std::string& method, const std::string& target, const std::string& body,
+                          const Reply& reply) {
+  expire();
+  if (outage_) return reply(503, {{"error", "trouble"}});
+  const std::string path = target.substr(0, target.find('?'));
+  if (path == "/changes") {
+    auto watch = std::make_shared<Watch>();
+    watch->prefix = query(target, "prefix");
+    watch->from = std::stoull(query(target, "from"));
+    watch->reply = reply;
+    if (answer_watch(*watch)) return;
+    watches_.push_back(watch);
+    world_.in(std::stod(query(target, "wait_ms")) / 1000, [this, watch] {
+      if (watch->over || outage_) return;
+      watch->over = true;
+      watch->reply(200, {{"epoch", epoch_}, {"events", Json::array()}});
+    });
+    return;
+  }
+  if (path == "/keys") {
+    const std::string prefix = query(target, "prefix");
+    const std::string from = query(target, "from");
+    Json items = Json::array();
+    bool more = false;
+    for (auto it = values_.lower_bound(prefix); it != values_.end() && starts_with(it->first, prefix); ++it) {
+      if (!from.empty() && it->first <= from) continue;
+      if (items.size() == 7) {  // small pages, so that paging is always used
+        more = true;
+        break;
+      }
+      items.push_back({{"k", it->first}, {"data", it->second}, {"stamp", stamps_[it->first]}});
+    }
+    return reply(200, {{"items", items}, {"more", more}, {"epoch", epoch_}});
+  }
+  if (starts_with(path, "/keys/")) {
+    const std::string key = path.substr(6);
+    const auto it = values_.find(key);
+    if (it == values_.end()) return reply(404, {{"epoch", epoch_}});
+    Json out = {{"k", key}, {"data", it->second}, {"stamp", stamps_[key]}};
+    if (holds_.count(key) > 0) out["hold"] = holds_[key];
+    return reply(200, out);
+  }
+  const Json json = body.empty() ? Json::object() : parse_json(body);
+  if (path == "/commit") {
+    Json failed = Json::array();
+    for (const Json& guard : json["guards"]) {
+      if (stamp(guard["k"]) != guard["stamp"].get<std::uint64_t>()) failed.push_back(guard["k"]);
+    }
+    for (const Json& change : json["then"]) {
+      if (change.contains("hold") && leases_.count(change["hold"].get<std::uint64_t>()) == 0) {
+        return reply(400, {{"error", "no such lease"}});
+      }
+    }
+    if (!failed.empty()) return reply(409, {{"failed", failed}, {"epoch", epoch_}});
+    if (json["then"].size() > 24) return reply(400, {{"error", "too many changes"}});
+    if (!json["then"].empty()) epoch_++;
+    for (const Json& change : json["then"]) {
+      if (change.contains("put")) {
+        const std::string key = change["put"];
+        if (change["data"].dump().size() > 8192) world_.broken("a value above the limit: " + key);
+        values_[key] = change["data"];
+        stamps_[key] = epoch_;
+        holds_.erase(key);
+        if (change.contains("hold")) holds_[key] = change["hold"].get<std::uint64_t>();
+        changed(key, {{"put", key}, {"data", change["data"]}, {"stamp", epoch_}});
+      } else {
+        const std::string key = change["delete"];
+        if (values_.count(key) == 0) continue;
+        erase(key);
+        changed(key, {{"delete", key}, {"stamp", epoch_}});
+      }
+    }
+    reply(200, {{"epoch", epoch_}});
+    serve_watches();
+    return;
+  }
+  if (path == "/leases") {
+    const double ttl = json["ttl_ms"].get<double>() / 1000;
+    leases_[next_lease_] = {ttl, world_.now + ttl};
+    return reply(200, {{"hold", next_lease_++}});
+  }
+  if (starts_with(path, "/leases/")) {
+    const auto it = leases_.find(std::stoull(path.substr(8)));
+    if (it == leases_.end()) return reply(404, Json::object());
+    it->second.ends = world_.now + it->second.ttl;
+    return reply(200, {{"hold", it->first}});
+  }
+  (void)method;
+  reply(400, {{"error", "malformed"}});
+}
+
+// ---------------------------------------------------------------- cloud
+
+void Cloud::handle(const std::string& target, const std::string& body,
+                   const std::function<void(int, Json)>& reply) {
+  if (outage) return reply(503, {{"error", "trouble"}});
+  const std::string path = target.substr(0, target.find('?'));
+  const Json json = body.empty() ? Json::object() : parse_json(body);
+  if (path == "/machine_types") {
+    return reply(200, parse_json(R"({"flavours":[
+      {"name":"c4","cores":4,"accelerators":0,"memory_gb":16,"local_gb":20,"pull_gb_per_s":1,"hourly":0.4,
+       "spot_price":0.1,"boot_s":10,"halls":["a","b"]},
+      {"name":"c16","cores":16,"accelerators":0,"memory_gb":64,"local_gb":20,"pull_gb_per_s":1,"hourly":1.2,
+       "spot_price":0.3,"boot_s":10,"halls":["a","b"]}]})"));
+  }
+  if (path == "/hosts/return") {
+    for (const Json& host : json["hosts"]) {
+      const auto it = world_.workers.find(host);
+      if (it != world_.workers.end()) it->second->dead = true;
+      const auto row = rows_.find(host);
+      if (row != rows_.end()) row->second.gone = std::min(row->second.gone, world_.now);
+    }
+    return reply(200, Json::object());
+  }
+  if (path == "/hosts" && !body.empty()) {
+    const std::string name = json["rental"];
+    if (rentals_.count(name) > 0) return reply(200, rentals_[name]);
+    int alive = 0;  // each type, hall and kind has room for two
+    for (const auto& [ref, row] : rows_) {
+      const bool same = row.item["flavour"] == json["flavour"] && row.item["hall"] == json["hall"] &&
+                        row.item["loaner"] == json["loaner"];
+      alive += same && row.gone > world_.now ? 1 : 0;
+    }
+    const int count = std::min(json["how_many"].get<int>(), 2 - alive);
+    if (count <= 0) return reply(503, {{"error", "no capacity"}});
+    Json hosts = Json::array();
+    for (int i = 0; i < count; i++) {
+      std::ostringstream ref;
+      ref << "host-" << std::string(6 - std::to_string(next_).size(), '0') << next_;
+      const std::string address = "10.1.0." + std::to_string(next_) + ":9000";
+      next_++;
+      auto worker = std::make_unique<Worker>(world_, ref.str(), address, json["flavour"], json["hall"],
+                                             json["loaner"], world_.uniform(0.9996, 1.0004));
+      Worker* raw = worker.get();
+      world_.workers.emplace(ref.str(), std::move(worker));
+      rows_[ref.str()] = {{{"ref", ref.str()},
+                           {"address", address},
+                           {"flavour", json["flavour"]},
+                           {"hall", json["hall"]},
+                           {"loaner", json["loaner"]},
+                           {"phase", "running"}},
+                          world_.now};
+      if (world_.uniform(0, 1) >= fail_share) world_.in(world_.uniform(3, 15), [raw] { raw->boot(); });
+      hosts.push_back(ref.str());
+    }
+    rentals_[name] = {{"hosts", hosts}};
+    return reply(200, rentals_[name]);
+  }
+  if (path == "/hosts") {
+    const double as_of = world_.now - world_.uniform(0, 6);
+    Json hosts = Json::array();
+    for (const auto& [ref, row] : rows_) {
+      if (row.created > as_of || row.gone <= as_of) continue;
+      Json item = row.item;
+      item["age_s"] = as_of - row.created;
+      hosts.push_back(item);
+    }
+    return reply(200, {{"hosts", hosts}, {"more", false}});
+  }
+  reply(404, Json::object());
+}
+
+// ---------------------------------------------------------------- workers
+
+Worker::Worker(World& world, std::string name_in, std::string address_in, std::string flavour_in,
+               std::string hall_in, bool loaner_in, double drift)
+    : name(std::move(name_in)),
+      address(std::move(address_in)),
+      flavour(std::move(flavour_in)),
+      hall(std::move(hall_in)),
+      loaner(loaner_in),
+      world_(world),
+      drift_(drift) {}
+
+double Worker::now() const { return world_.now * drift_; }
+
+void Worker::boot() {
+  if (dead) return;
+  node_ = name_of(static_cast<int>(world_.rng() % static_cast<std::uint64_t>(world_.options.nodes)));
+  last_answered_sent_ = now();
+  step();
+}
+
+void Worker::unhang() {
+  hung = false;
+  check_lease();
+  auto held = std::move(held_);
+  held_.clear();
+  for (auto& action : held) action();
+}
+
+Json Worker::report() {
+  Json pieces = Json::array();
+  for (const Task& task : tasks) {
+    Json item = {{"piece", task.ref + "/" + std::to_string(task.index)},
+                 {"try_no", task.try_no},
+                 {"phase", task.phase}};
+    if (task.phase == "exited") item["exit_cause"] = task.cause;
+    pieces.push_back(item);
+  }
+  return {{"host", name},         {"address", address}, {"flavour", flavour}, {"hall", hall},
+          {"loaner", loaner},     {"tenure", tenure_},  {"tick", ++tick_},    {"baton", baton_},
+          {"warning_s", nullptr}, {"pieces", pieces}};
+}
+
+void Worker::check_lease() {
+  if (now() - last_answered_sent_ <= kLease) return;
+  tasks.clear();
+  tenure_++;
+  last_answered_sent_ = now();
+  changed_ = true;
+}
+
+void Worker::step() {
+  if (dead) {
+    tasks.clear();
+    return;
+  }
+  check_lease();  // a machine resumes only within its lease: beyond it, its tasks are gone, hung or not
+  if (!hung) {
+    for (Task& task : tasks) {
+      if (task.phase == "exited" || world_.now < task.until) continue;
+      changed_ = true;
+      if (task.phase == "pulling") {
+        const auto& job = world_.jobs.at(task.ref);
+        images_.insert(job.body["bundle"]);
+        task.phase = "running";
+        task.until = world_.now + (sick ? 0.5 : job.run_s * world_.uniform(0.7, 1.3));
+        world_.on_start(*this, task);
+      } else {
+        task.phase = "exited";
+        task.cause = sick ? "error" : "done";
+        if (!sick) world_.on_done(task);
+      }
+    }
+    if (!in_flight_ && (now() >= next_report_ || (changed_ && now() - last_report_ >= 0.5))) send_report();
+  } else {
+    for (Task& task : tasks) {
+      if (task.phase != "exited") task.until += 0.1;
+    }
+  }
+  world_.in(0.1, [this] { step(); });
+}
+
+void Worker::send_report() {
+  changed_ = false;
+  in_flight_ = true;
+  const std::uint64_t flight = ++flight_;
+  const double sent = now();
+  last_report_ = sent;
+  next_report_ = sent + kReport * world_.uniform(0.75, 1.25);
+  const std::uint64_t tenure = tenure_;
+  int index = node_.back() - '0';
+  HttpCall call{front_of(index), "POST", "/hello", dump_json(report()), 4.0};
+  world_.send(name, call, [this, flight, sent, tenure, index](const HttpReply& reply) {
+    const auto act = [this, flight, sent, tenure, index, reply] {
+      if (dead || flight != flight_ || !in_flight_) return;
+      in_flight_ = false;
+      const int nodes = world_.options.nodes;
+      if (reply.status == 200) {
+        const Json body = parse_json(reply.body);
+        if (!body.is_object() || !body.contains("baton") || body["baton"].get<std::uint64_t>() < baton_)
+          return;
+        if (now() - sent > 4 || tenure != tenure_) return;
+        if (body["baton"].get<std::uint64_t>() > baton_) {
+          baton_ = body["baton"];
+          changed_ = true;
+        }
+        last_answered_sent_ = std::max(last_answered_sent_, sent);
+        execute(body["orders"]);
+        return;
+      }
+      std::string parent;
+      if (reply.status == 421) parent = parse_json(reply.body).value("parent", "");
+      if (!parent.empty() && parent != node_) {
+        node_ = parent;
+        next_report_ = now() + world_.uniform(0, 0.5);
+      } else {
+        node_ = name_of((index + 1) % nodes);
+        next_report_ = now() + 1;
+      }
+    };
+    if (hung) {
+      held_.push_back(act);
+    } else {
+      act();
+    }
+  });
+}
+
+void Worker::handle(const std::string& target, const std::string& body,
+                    const std::function<void(int, Json)>& reply) {
+  const auto act = [this, target, body, reply] {
+    if (dead) return;
+    check_lease();
+    if (target == "/status") return reply(200, report());
+    const Json json = parse_json(body);
+    if (!json.contains("baton") || !json.contains("tenure")) return reply(400, Json::object());
+    if (json["baton"].get<std::uint64_t>() < baton_ || json["tenure"].get<std::uint64_t>() != tenure_) {
+      return reply(409, report());
+    }
+    if (json["baton"].get<std::uint64_t>() > baton_) {
+      baton_ = json["baton"];
+      changed_ = true;
+    }
+    execute(json["orders"]);
+    reply(200, report());
+  };
+  if (hung) {
+    held_.push_back(act);
+  } else {
+    act();
+  }
+}
+
+void Worker::execute(const Json& orders) {
+  for (const Json& order : orders) {
+    const std::string verb = order["verb"];
+    const std::string piece = order["piece"];
+    const std::uint64_t try_no = order["try_no"];
+    const auto it = std::find_if(tasks.begin(), tasks.end(), [&](const Task& task) {
+      return task.ref + "/" + std::to_string(task.index) == piece && task.try_no == try_no;
+    });
+    if (verb == "launch") {
+      if (it == tasks.end()) launch(piece, try_no);
+    } else if (it != tasks.end() && verb == "stop" && it->phase != "exited") {
+      it->phase = "exited";
+      it->cause = "halted";
+      changed_ = true;
+    } else if (it != tasks.end() && verb == "reap" && it->phase == "exited") {
+      tasks.erase(it);
+    }
+  }
+}
+
+void Worker::launch(const std::string& piece, std::uint64_t try_no) {
+  const auto slash = piece.rfind('/');
+  Task task;
+  task.ref = piece.substr(0, slash);
+  task.index = std::stoi(piece.substr(slash + 1));
+  task.try_no = try_no;
+  changed_ = true;
+  const auto refuse = [&](const char* cause) {
+    task.phase = "exited";
+    task.cause = cause;
+    tasks.push_back(task);
+  };
+  const auto job = world_.jobs.find(task.ref);
+  if (job == world_.jobs.end() || task.index >= job->second.pieces) return refuse("no_such");
+  double used = 0;
+  for (const Task& other : tasks) {
+    if (other.phase == "exited") continue;
+    if (other.ref == task.ref && other.index == task.index) return refuse("in_use");
+    used += world_.jobs.at(other.ref).body["cores"].get<double>();
+  }
+  const double cores = job->second.body["cores"];
+  if (used + cores > (flavour == "c4" ? 4.0 : 16.0)) return refuse("no_room");
+  task.until = world_.now + (images_.count(job->second.body["bundle"]) > 0 ? 0.05 : world_.uniform(0.5, 2));
+  tasks.push_back(task);
+}
+
+// ---------------------------------------------------------------- the world
+
+World::World(Options options_in)
+    : rng(options_in.seed),
+      options(options_in),
+      state(*this),
+      cloud(*this),
+      nodes(static_cast<std::size_t>(options_in.nodes)) {
+  for (int i = 0; i < options.nodes; i++) start_node(i);
+  at(1, [this] { check_rules(); });
+}
+
+World::~World() {
+  for (Process& process : nodes) process.node.reset();
+}
+
+void World::at(double time, std::function<void()> action) {
+  events_.push({std::max(time, now), order_++, std::move(action)});
+}
+
+void World::run_until(double time) {
+  while (!events_.empty() && events_.top().time <= time) {
+    const Event event = events_.top();
+    events_.pop();
+    now = event.time;
+    event.action();
+  }
+  now = time;
+}
+
+void World::start_node(int index) {
+  Process& process = nodes[static_cast<std::size_t>(index)];
+  process.settings = settings_for(index, options.nodes);
+  process.env = std::make_unique<NodeEnv>(*this, name_of(index), uniform(0.9996, 1.0004), uniform(-0.1, 0.1));
+  process.node = std::make_unique<Node>(*process.env, process.settings);
+  process.node->start();
+}
+
+void World::crash_node(int index, double back_after) {
+  Process& process = nodes[static_cast<std::size_t>(index)];
+  if (!process.node) return;
+  process.node.reset();
+  process.env.reset();
+  in(back_after, [this, index] { start_node(index); });
+}
+
+bool World::reachable(const std::string& a, const std::string& b) const {
+  return cuts.count({a, b}) == 0 && cuts.count({b, a}) == 0;
+}
+
+void World::broken(const std::string& rule) {
+  std::ostringstream out;
+  out << now << " s: " << rule;
+  violations.push_back(out.str());
+}
+
+void World::send(const std::string& from, const HttpCall& call, std::function<void(HttpReply)> reply) {
+  auto over = std::make_shared<bool>(false);
+  const auto finish = [over, reply = std::move(reply)](HttpReply answer) {
+    if (*over) return;
+    *over = true;
+    reply(std::move(answer));
+  };
+  in(call.timeout_s, [finish] { finish({}); });
+  if (uniform(0, 1) < options.loss) return;  // the request is lost
+  std::string to = call.destination;
+  for (int i = 0; i < options.nodes; i++) {
+    if (to == front_of(i) || to == back_of(i)) to = name_of(i);
+  }
+  for (const auto& [name, worker] : workers) {
+    if (worker->address == call.destination) to = name;
+  }
+  double delay = uniform(0.001, 0.006) + (uniform(0, 1) < 0.01 ? uniform(0.05, 0.4) : 0);
+  if (!reachable(from, to)) {
+    // Held back and delivered after the cut, or lost.
+    if (uniform(0, 1) > hold_share) return;
+    delay += uniform(5, 60);
+  }
+  in(delay, [this, from, call, finish] {
+    deliver(from, call, [this, finish](HttpReply answer) {
+      if (uniform(0, 1) < options.loss) return;  // executed, but the answer is lost
+      in(uniform(0.001, 0.006), [finish, answer] { finish(answer); });
+    });
+  });
+}
+
+void World::deliver(const std::string& from, const HttpCall& call, std::function<void(HttpReply)> reply) {
+  const auto answer = [reply](int status, const Json& body) { reply({status, body.dump()}); };
+  if (call.destination == kState) {
+    if (state_refuses.count(from) > 0) return answer(503, {{"error", "trouble"}});
+    return state.handle(call.method, call.path, call.body, answer);
+  }
+  if (call.destination == kCloud) return cloud.handle(call.path, call.body, answer);
+  for (int i = 0; i < options.nodes; i++) {
+    const bool front = call.destination == front_of(i);
+    if (!front && call.destination != back_of(i)) continue;
+    Node* node = nodes[static_cast<std::size_t>(i)].node.get();
+    if (node == nullptr) return;  // refused: the same as silence here
+    const HttpRequest request{call.method, call.path, call.body};
+    const Responder responder([reply](const HttpAnswer& out) { reply({out.status, out.body}); });
+    if (front) {
+      node->on_front(request, responder);
+    } else {
+      node->on_back(request, responder);
+    }
+    return;
+  }
+  for (auto& [name, worker] : workers) {
+    if (worker->address == call.destination && !worker->dead)
+      return worker->handle(call.path, call.body, answer);
+  }
+}
+
+// ---------------------------------------------------------------- users
+
+int World::pick_node() { return static_cast<int>(rng() % static_cast<std::uint64_t>(options.nodes)); }
+
+void World::submit(UserJob job) {
+  const std::string ref = job.ref;
+  const double when = job.submit_at;
+  const double cancel = job.cancel_at;
+  jobs.emplace(ref, std::move(job));
+  at(when, [this, ref] { user_submit(ref, now + 60); });
+  if (cancel >= 0) {
+    at(cancel, [this, ref] { user_cancel(ref); });
+  }
+}
+
+void World::user_submit(const std::string& ref, double give_up) {
+  if (now > give_up) return;
+  HttpCall call{front_of(pick_node()), "POST", "/v2/runs", dump_json(jobs.at(ref).body), 5};
+  send("user", call, [this, ref, give_up](const HttpReply& reply) {
+    UserJob& job = jobs.at(ref);
+    if (reply.status == 201 || reply.status == 200) {
+      job.accepted = true;
+      if (uniform(0, 1) < 0.1)
+        in(uniform(1, 40), [this, ref] { user_submit(ref, now + 1); });  // a late repeat
+      user_poll(ref);
+    } else if (reply.status == 400 || reply.status == 422) {
+      broken("forgotten: " + ref + " got " + std::to_string(reply.status));
+    } else {
+      in(uniform(1, 2), [this, ref, give_up] { user_submit(ref, give_up); });
+    }
+  });
+}
+
+void World::user_poll(const std::string& ref) {
+  HttpCall call{front_of(pick_node()), "GET", "/v2/runs/" + ref, "", 2};
+  const bool was_done = jobs.at(ref).told_done;
+  const bool was_aborted = jobs.at(ref).told_aborted;
+  send("user", call, [this, ref, was_done, was_aborted](const HttpReply& reply) {
+    UserJob& job = jobs.at(ref);
+    if (reply.status == 404) broken("forgotten: " + ref + " is unknown");
+    if (reply.status == 200) {
+      const std::string phase = parse_json(reply.body).value("phase", "");
+      if (phase == "done") {
+        if (static_cast<int>(job.completed.size()) < job.pieces) broken("not_done: " + ref);
+        if (was_aborted) broken("went_back: " + ref + " cancelled, then done");
+        job.told_done = true;
+      } else if (phase == "aborted") {
+        if (was_done) broken("went_back: " + ref + " done, then cancelled");
+        if (!job.cancel_asked) broken("went_back: " + ref + " cancelled by nobody");
+        if (!job.told_aborted) job.aborted_at = now;
+        job.told_aborted = true;
+      } else if (was_done || was_aborted) {
+        broken("went_back: " + ref + " ended, then " + phase);
+      }
+    }
+    if (!job.told_done && !job.told_aborted) {
+      in(5, [this, ref] { user_poll(ref); });
+    } else if (uniform(0, 1) < 0.5) {
+      in(uniform(5, 60), [this, ref] { user_poll(ref); });  // ask again much later
+    }
+  });
+}
+
+void World::user_cancel(const std::string& ref) {
+  UserJob& job = jobs.at(ref);
+  if (!job.accepted) {
+    in(2, [this, ref] { user_cancel(ref); });
+    return;
+  }
+  job.cancel_asked = true;
+  HttpCall call{front_of(pick_node()), "POST", "/v2/runs/" + ref + "/cancel", "{}", 5};
+  send("user", call, [this, ref](const HttpReply& reply) {
+    UserJob& found = jobs.at(ref);
+    if (reply.status == 404) broken("forgotten: cancel of " + ref + " got 404");
+    if (reply.status == 200) {
+      const std::string phase = parse_json(reply.body).value("phase", "");
+      if (phase == "aborted") {
+        if (!found.told_aborted) found.aborted_at = now;
+        found.told_aborted = true;
+      } else if (phase == "done") {
+        if (static_cast<int>(found.completed.size()) < found.pieces) broken("not_done: cancel of " + ref);
+        found.told_done = true;
+      } else {
+        broken("cancel of " + ref + " answered " + phase);
+      }
+      return;
+    }
+    in(uniform(1, 2), [this, ref] { user_cancel(ref); });
+  });
+}
+
+// ---------------------------------------------------------------- rules
+
+void World::on_start(Worker& worker, const Task& task) {
+  starts++;
+  const UserJob& job = jobs.at(task.ref);
+  std::map<std::string, double> used;
+  std::map<std::string, int> in_hall;
+  for (const auto& [name, other] : workers) {
+    if (other->dead) continue;
+    for (const Task& each : other->tasks) {
+      if (!other->on_machine(each)) continue;
+      used[jobs.at(each.ref).body["owner"]] += jobs.at(each.ref).body["cores"].get<double>();
+      if (each.ref != task.ref) continue;
+      in_hall[other->hall]++;
+      if (each.index == task.index && !(other.get() == &worker && each.try_no == task.try_no)) {
+        broken("ran_twice: " + task.ref + "/" + std::to_string(task.index) + " on " + worker.name + " and " +
+               name);
+      }
+    }
+  }
+  const std::string team = job.body["owner"];
+  if (used[team] > kTeamMax + 1e-6) broken("quota: " + team + " uses " + std::to_string(used[team]));
+  if (worker.loaner && !job.body["loaner"].get<bool>()) broken("wrong_place: " + task.ref + " on spot");
+  if (!job.body["hall"].is_null() && job.body["hall"] != worker.hall)
+    broken("wrong_place: " + task.ref + " hall");
+  if (job.body["together"].get<bool>() && in_hall.size() > 1) broken("wrong_place: " + task.ref + " apart");
+  if (job.body["scatter"].get<bool>() && in_hall[worker.hall] > (job.pieces + 1) / 2) {
+    broken("wrong_place: " + task.ref + " not scattered");
+  }
+  if (job.told_aborted && now - job.aborted_at > kCancel) broken("ran_cancelled: " + task.ref + " starts");
+}
+
+void World::on_done(const Task& task) { jobs.at(task.ref).completed.insert(task.index); }
+
+void World::check_rules() {
+  for (const auto& [name, worker] : workers) {
+    if (worker->dead) continue;
+    for (const Task& task : worker->tasks) {
+      const UserJob& job = jobs.at(task.ref);
+      if (worker->on_machine(task) && job.told_aborted && now - job.aborted_at > kCancel) {
+        broken("ran_cancelled: " + task.ref + " on " + name);
+      }
+    }
+  }
+  in(1, [this] { check_rules(); });
+}
+
+std::string World::summary() const {
+  std::ostringstream out;
+  int open = 0;
+  for (const auto& [ref, job] : jobs) {
+    if (job.accepted && !job.told_done && !job.told_aborted) {
+      open++;
+      out << ref << " open: " << job.completed.size() << " of " << job.pieces << " completed; " << dump_json(job.body) << "\n";
+    }
+  }
+  out << jobs.size() << " jobs, " << open << " open, " << starts << " starts, " << workers.size()
+      << " machines\n";
+  for (const std::string& violation : violations) out << violation << '\n';
+  return out.str();
+}
+
+}  // namespace mothslip::sim
--- /dev/null
+++ b/tests/sim/world.hpp
@@ -0,0 +1,252 @@
+// A small simulated cluster: whole nodes (the real Node class) in virtual time, with stand-ins for the state
+// service, the cloud, workers and users that follow PROTOCOL, and the protocol's rules as invariants.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coordination/node.hpp"
+#include "protocol/settings.hpp"
+#include "transport/env.hpp"
+
+namespace mothslip::sim {
+
+class World;
+
+// What a node sees of the world. It dies with its process: late timers and replies find nothing.
+class NodeEnv final : public Env {
+ public:
+  NodeEnv(World& world, std::string node, double drift, double skew);
+  [[nodiscard]] double now() const override;
+  [[nodiscard]] double wall() const override;
+  std::uint64_t random() override;
+  TimerId after(double delay_s, std::function<void()> action) override;
+  void cancel(TimerId timer) override { cancelled_.insert(timer); }
+  void call(HttpCall request, ReplyHandler handler) override;
+
+ private:
+  World& world_;
+  std::string node_;
+  double drift_;
+  double skew_;
+  TimerId next_ = 1;
+  std::set<TimerId> cancelled_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+class StateService {
+ public:
+  explicit StateService(World& world) : world_(world) {}
+  using Reply = std::function<void(int status, Json body)>;
+  void handle(const std::string& method, const std::string& target, const std::string& body,
+              const Reply& reply);
+  void set_outage(bool out);
+  [[nodiscard]] const std::map<std::string, Json>& values() const { return values_; }
+  [[nodiscard]] std::uint64_t stamp(const std::string& key) const;
+
+ private:
+  struct Watch {
+    std::string prefix;
+    std::uint64_t from;
+    Reply reply;
+    bool over = false;
+  };
+  struct Lease {
+    double ttl;
+    double ends;
+  };
+  struct Change {
+    std::uint64_t revision;
+    std::string key;
+    Json event;
+  };
+  void expire();
+  void changed(const std::string& key, Json event);
+  void serve_watches();
+  bool answer_watch(Watch& watch);
+  void erase(const std::string& key);
+
+  World& world_;
+  std::map<std::string, Json> values_;
+  std::map<std::string, std::uint64_t> stamps_;
+  std::map<std::string, std::uint64_t> holds_;
+  std::map<std::uint64_t, Lease> leases_;
+  std::vector<Change> changes_;
+  std::vector<std::shared_ptr<Watch>> watches_;
+  std::uint64_t epoch_ = 1;
+  std::uint64_t next_lease_ = 1;
+  bool outage_ = false;
+};
+
+struct Task {
+  std::string ref;
+  int index = 0;
+  std::uint64_t try_no = 0;
+  std::string phase = "pulling";
+  std::string cause;
+  double until = 0;
+};
+
+class Worker {
+ public:
+  Worker(World& world, std::string name, std::string address, std::string flavour, std::string hall,
+         bool loaner, double drift);
+  void boot();
+  void handle(const std::string& target, const std::string& body,
+              const std::function<void(int, Json)>& reply);
+  [[nodiscard]] bool on_machine(const Task& task) const {
+    return task.phase == "running" || task.phase == "saving";
+  }
+
+  std::string name, address, flavour, hall;
+  bool loaner;
+  bool dead = false;
+  bool hung = false;
+  bool sick = false;
+  bool cut = false;
+  std::vector<Task> tasks;
+  void unhang();
+
+ private:
+  [[nodiscard]] Json report();
+  void step();
+  void send_report();
+  void execute(const Json& orders);
+  void launch(const std::string& piece, std::uint64_t try_no);
+  void check_lease();
+  [[nodiscard]] double now() const;
+
+  World& world_;
+  double drift_;
+  std::uint64_t tenure_ = 1;
+  std::uint64_t tick_ = 0;
+  std::uint64_t baton_ = 0;
+  double last_answered_sent_ = 0;
+  double next_report_ = 0;
+  double last_report_ = -10;
+  bool in_flight_ = false;
+  std::uint64_t flight_ = 0;
+  bool changed_ = false;
+  std::string node_;
+  std::set<std::string> images_;
+  std::vector<std::function<void()>> held_;  // what arrives while hung
+};
+
+class Cloud {
+ public:
+  explicit Cloud(World& world) : world_(world) {}
+  void handle(const std::string& target, const std::string& body,
+              const std::function<void(int, Json)>& reply);
+  bool outage = false;
+  double fail_share = 0;  // machines that never come up
+
+ private:
+  World& world_;
+  std::map<std::string, Json> rentals_;
+  int next_ = 1;
+  struct Row {
+    Json item;
+    double created;
+    double gone = 1e18;
+  };
+  std::map<std::string, Row> rows_;
+};
+
+// One user's job, and what was promised about it.
+struct UserJob {
+  Json body;
+  std::string ref;
+  int pieces = 1;
+  double run_s = 5;
+  double submit_at = 0;
+  double cancel_at = -1;
+  bool accepted = false;
+  bool told_done = false;
+  bool told_aborted = false;
+  double aborted_at = 0;
+  bool cancel_asked = false;
+  std::set<int> completed;
+};
+
+struct Options {
+  std::uint64_t seed = 1;
+  int nodes = 3;
+  double loss = 0.002;
+  int jobs = 24;
+};
+
+class World {
+ public:
+  explicit World(Options options);
+  ~World();
+
+  void at(double time, std::function<void()> action);
+  void in(double delay, std::function<void()> action) { at(now + delay, std::move(action)); }
+  void run_until(double time);
+
+  void start_node(int index);
+  void crash_node(int index, double back_after);
+  // Sends a message over the simulated network. Exactly one reply; {0} is silence.
+  void send(const std::string& from, const HttpCall& call, std::function<void(HttpReply)> reply);
+  void submit(UserJob job);
+
+  [[nodiscard]] bool reachable(const std::string& a, const std::string& b) const;
+  void broken(const std::string& rule);
+  double uniform(double low, double high) {
+    return low + (high - low) * std::generate_canonical<double, 53>(rng);
+  }
+
+  void on_start(Worker& worker, const Task& task);
+  void on_done(const Task& task);
+  [[nodiscard]] std::string summary() const;
+
+  double now = 0;
+  std::mt19937_64 rng;
+  Options options;
+  Settings base;
+  StateService state;
+  Cloud cloud;
+  std::map<std::string, std::unique_ptr<Worker>> workers;
+  std::map<std::string, UserJob> jobs;
+  std::vector<std::string> violations;
+  std::set<std::pair<std::string, std::string>> cuts;
+  std::set<std::string> state_refuses;  // nodes that get 503 from the state service while others are served
+  double hold_share = 0.5;              // of what meets a cut: delivered late rather than lost
+  std::map<std::string, double> cut_until;
+  int starts = 0;
+
+  struct Process {
+    Settings settings;
+    std::unique_ptr<NodeEnv> env;
+    std::unique_ptr<Node> node;
+  };
+  std::vector<Process> nodes;
+
+ private:
+  friend class NodeEnv;
+  struct Event {
+    double time;
+    std::uint64_t order;
+    std::function<void()> action;
+    bool operator<(const Event& other) const {
+      return time != other.time ? time > other.time : order > other.order;
+    }
+  };
+  void deliver(const std::string& from, const HttpCall& call, std::function<void(HttpReply)> reply);
+  void user_submit(const std::string& ref, double give_up);
+  void user_poll(const std::string& ref);
+  void user_cancel(const std::string& ref);
+  void check_rules();
+  int pick_node();
+
+  std::priority_queue<Event> events_;
+  std::uint64_t order_ = 0;
+};
+
+}  // namespace mothslip::sim
--- /dev/null
+++ b/tests/sim_test.cpp
@@ -0,0 +1,219 @@
+// Whole nodes in a simulated cluster, under failures: no rule of the protocol may break, and when the
+// failures are over every accepted job must end.
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+#include "sim/world.hpp"
+
+using namespace mothslip;
+using namespace mothslip::sim;
+
+namespace {
+
+UserJob make_job(World& world, int number, double from, double to) {
+  UserJob job;
+  job.ref = "job-" + std::to_string(100 + number * 7 % 1000) + std::to_string(number);
+  job.pieces = 1 + static_cast<int>(world.rng() % 12);
+  job.run_s = world.uniform(2, 20);
+  job.submit_at = world.uniform(from, to);
+  if (world.rng() % 5 == 0) job.cancel_at = job.submit_at + world.uniform(0, 30);
+  const int cores = 1 + static_cast<int>(world.rng() % 8);
+  const bool together = world.rng() % 5 == 0;
+  job.body = {{"ref", job.ref},
+              {"workload", "w"},
+              {"owner", world.rng() % 2 == 0 ? "red" : "blue"},
+              {"shape", "array"},
+              {"urgency", world.rng() % 2 == 0 ? "urgent" : "normal"},
+              {"pieces", job.pieces},
+              {"cores", cores},
+              {"accelerators", 0},
+              {"memory_gb", cores * 2},
+              {"bundle", "img-" + std::to_string(world.rng() % 3)},
+              {"pull_gb", 1},
+              {"flavours", nullptr},
+              {"hall", world.rng() % 6 == 0 ? Json("b") : Json(nullptr)},
+              {"together", together},
+              {"scatter", !together && world.rng() % 5 == 0},
+              {"loaner", world.rng() % 3 != 0},
+              {"guess_s", job.run_s * world.uniform(0.5, 1.5)},
+              {"snapshot_every_s", 0},
+              {"snapshot_cost_s", 0},
+              {"due_s", nullptr}};
+  return job;
+}
+
+void add_jobs(World& world, double from, double to) {
+  for (int i = 0; i < world.options.jobs; i++) world.submit(make_job(world, i, from, to));
+}
+
+Worker* some_worker(World& world) {
+  std::vector<Worker*> alive;
+  for (auto& [name, worker] : world.workers) {
+    if (!worker->dead) alive.push_back(worker.get());
+  }
+  return alive.empty() ? nullptr : alive[world.rng() % alive.size()];
+}
+
+void expect_kept(World& world) {
+  EXPECT_TRUE(world.violations.empty()) << world.summary();
+  EXPECT_GT(world.starts, 0);
+  for (const auto& [ref, job] : world.jobs) {
+    if (job.accepted) {
+      EXPECT_TRUE(job.told_done || job.told_aborted) << ref << "\n" << world.summary();
+    }
+  }
+}
+
+class Cluster : public ::testing::TestWithParam<int> {
+ protected:
+  void SetUp() override {
+    spdlog::set_level(std::getenv("SIM_LOG") != nullptr ? spdlog::level::info : spdlog::level::off);
+  }
+  Options options() const {
+    Options out;
+    out.seed = static_cast<std::uint64_t>(GetParam());
+    return out;
+  }
+};
+
+}  // namespace
+
+TEST_P(Cluster, QuietDay) {
+  World world(options());
+  add_jobs(world, 2, 60);
+  world.run_until(400);
+  expect_kept(world);
+  for (const auto& [ref, job] : world.jobs) EXPECT_TRUE(job.accepted) << ref;
+}
+
+TEST_P(Cluster, NodesCrashAloneTogetherAndComeBackWithinAFractionOfASecond) {
+  World world(options());
+  add_jobs(world, 2, 120);
+  for (double t = 15; t < 150; t += world.uniform(6, 20)) {
+    world.at(t, [&world] {
+      const int which = static_cast<int>(world.rng() % 5);
+      for (int i = 0; i < 3; i++) {
+        if (which == i || which == 3) world.crash_node(i, world.uniform(0.1, 9));
+      }
+      if (which == 4) world.crash_node(0, 0.2);
+    });
+  }
+  world.run_until(500);
+  expect_kept(world);
+}
+
+TEST_P(Cluster, TheStateServiceAndTheCloudGoAwayWhileNodesCrash) {
+  World world(options());
+  add_jobs(world, 2, 120);
+  for (double t = 20; t < 160; t += 35) {
+    world.at(t, [&world] { world.state.set_outage(true); });
+    world.at(t + world.uniform(3, 18), [&world] { world.state.set_outage(false); });
+    world.at(t + world.uniform(0, 18), [&world] { world.crash_node(static_cast<int>(world.rng() % 3), 3); });
+    world.at(t + 5, [&world] { world.cloud.outage = true; });
+    world.at(t + 30, [&world] { world.cloud.outage = false; });
+  }
+  world.run_until(600);
+  expect_kept(world);
+}
+
+TEST_P(Cluster, OneNodeAloneIsRefusedByTheStateService) {
+  World world(options());
+  add_jobs(world, 2, 120);
+  for (double t = 20; t < 160; t += 25) {
+    world.at(t, [&world] {
+      world.state_refuses.clear();
+      world.state_refuses.insert("roost-" + std::to_string(world.rng() % 3));
+    });
+    world.at(t + world.uniform(3, 20), [&world] { world.state_refuses.clear(); });
+  }
+  world.run_until(600);
+  expect_kept(world);
+}
+
+TEST_P(Cluster, MachinesHangDieAreCutOffAndFailTheirTasks) {
+  World world(options());
+  world.cloud.fail_share = 0.1;
+  add_jobs(world, 2, 150);
+  for (double t = 15; t < 180; t += world.uniform(5, 12)) {
+    world.at(t, [&world] {
+      Worker* worker = some_worker(world);
+      if (worker == nullptr) return;
+      const std::string name = worker->name;
+      switch (world.rng() % 4) {
+        case 0:
+          worker->dead = true;
+          break;
+        case 1:
+          worker->hung = true;
+          world.in(world.uniform(2, 40), [worker] { worker->unhang(); });
+          break;
+        case 2:
+          worker->sick = true;
+          break;
+        default:
+          for (int i = 0; i < 3; i++) world.cuts.insert({name, "roost-" + std::to_string(i)});
+          world.in(world.uniform(5, 40), [&world, name] {
+            for (int i = 0; i < 3; i++) world.cuts.erase({name, "roost-" + std::to_string(i)});
+          });
+      }
+    });
+  }
+  world.run_until(700);
+  expect_kept(world);
+}
+
+TEST_P(Cluster, EverythingAtOnceWithLateMessages) {
+  Options mix = options();
+  mix.loss = 0.01;
+  World world(mix);
+  world.hold_share = 0.8;
+  add_jobs(world, 2, 150);
+  for (double t = 15; t < 180; t += world.uniform(4, 10)) {
+    world.at(t, [&world] {
+      Worker* worker = some_worker(world);
+      const int node = static_cast<int>(world.rng() % 3);
+      const std::string name = "roost-" + std::to_string(node);
+      switch (world.rng() % 6) {
+        case 0:
+          world.crash_node(node, world.uniform(0.1, 9));
+          break;
+        case 1:
+          world.state.set_outage(true);
+          world.in(world.uniform(1, 12), [&world] { world.state.set_outage(false); });
+          break;
+        case 2:
+          world.state_refuses.insert(name);
+          world.in(world.uniform(1, 15), [&world, name] { world.state_refuses.erase(name); });
+          break;
+        case 3: {
+          const std::string other = "roost-" + std::to_string((node + 1) % 3);
+          world.cuts.insert({name, other});
+          if (worker != nullptr) world.cuts.insert({worker->name, name});
+          const std::string cut = worker == nullptr ? other : worker->name;
+          world.in(world.uniform(3, 30), [&world, name, other, cut] {
+            world.cuts.erase({name, other});
+            world.cuts.erase({cut, name});
+          });
+          break;
+        }
+        case 4:
+          if (worker != nullptr) worker->dead = true;
+          break;
+        default:
+          if (worker != nullptr) {
+            worker->hung = true;
+            world.in(world.uniform(2, 30), [worker] { worker->unhang(); });
+          }
+      }
+    });
+  }
+  world.run_until(700);
+  expect_kept(world);
+}
+
+// SIM_SEEDS=N plays N seeds of each, for a search; the suite itself plays a few.
+int seeds() {
+  const char* const given = std::getenv("SIM_SEEDS");
+  return given == nullptr ? 4 : std::max(1, std::atoi(given));
+}
+INSTANTIATE_TEST_SUITE_P(Seeds, Cluster, ::testing::Range(1, 1 + seeds()));
