--- a/src/bookkeeping/ledger.hpp
+++ b/src/bookkeeping/ledger.hpp
@@ -16,9 +16,24 @@
 
 namespace mothslip {
 
+// A block of a job's tasks, as its home sees it.
+struct Lent {
+  RangeSet range;
+  RangeSet done;
+  std::uint64_t stamp = 0;
+  [[nodiscard]] bool complete() const { return done.size() == range.size(); }
+};
+
+// A job at its home part, or a block of one that this part has borrowed.
 struct Job {
   HeadRecord head;
   std::uint64_t head_stamp = 0;
+  int home = 0;
+  std::string block;  // the block's key when borrowed
+  RangeSet range;     // borrowed: the tasks in the block
+  std::uint64_t block_stamp = 0;
+  double idle_since = 0;             // borrowed: nothing was placed since
+  std::map<std::string, Lent> lent;  // home: by block key
   int team = 0;
   int bundle = 0;
   Resources demand{};
@@ -43,7 +58,29 @@
 
   [[nodiscard]] const JobSpec& spec() const { return head.spec; }
   [[nodiscard]] bool over() const { return head.aborted || complete(); }
-  [[nodiscard]] bool complete() const { return done.size() >= head.spec.pieces; }
+  // Its tasks may not be placed without regard to each other.
+  [[nodiscard]] bool bound() const { return head.spec.together || head.spec.scatter; }
+  [[nodiscard]] bool borrowed() const { return !block.empty(); }
+  [[nodiscard]] bool complete() const {
+    return done.size() >= (borrowed() ? range.size() : head.spec.pieces);
+  }
+  [[nodiscard]] bool lent_all_complete() const {
+    for (const auto& [key, each] : lent) {
+      if (!each.complete()) return false;
+    }
+    return true;
+  }
+  [[nodiscard]] int lent_open() const {
+    int open = 0;
+    for (const auto& [key, each] : lent) open += each.range.size() - each.done.size();
+    return open;
+  }
+  void saved(const RangeSet& indices, double now) {
+    for (const auto& [first, last] : indices.ranges()) {
+      for (int i = first; i < last; i++) unsaved.erase(i);
+    }
+    unsaved_since = now;
+  }
   [[nodiscard]] bool durable(int index) const { return done.contains(index) && !unsaved.contains(index); }
 };
 using JobPtr = std::shared_ptr<Job>;
@@ -90,6 +127,7 @@
   double busy_at = 0;  // last time it had a placement
   std::optional<double> warned_at;
   bool draining = false;
+  bool gone = false;     // the cloud took it back
   bool winding = false;  // takes nothing new, for now
   bool sick = false;
   int error_streak = 0;
@@ -102,7 +140,7 @@
   bool direct_inflight = false;
 
   // May anything new be started here?
-  [[nodiscard]] bool welcome() const { return !draining && !sick && !warned_at; }
+  [[nodiscard]] bool welcome() const { return !gone && !draining && !sick && !warned_at; }
   [[nodiscard]] bool has_image(int bundle) const {
     for (const auto& [image, gb] : images) {
       if (image == bundle) return true;
@@ -121,48 +159,72 @@
   }
 };
 
-// Use of each team against its limits. What is placed counts until it is known to be gone.
+// Use of each team against this part's allowance. What is placed counts until it is known to be gone.
 class TeamLedger {
  public:
+  // Until its allowances are known a part may place nothing.
   explicit TeamLedger(const std::vector<Team>& teams) {
-    for (const Team& team : teams) rows_.push_back({team, 0, 0});
+    for (const Team& team : teams) rows_.push_back({team, 0, 0, 0, 0, 0});
+  }
+  void allow(int team, double cores, double gpus, std::uint64_t stamp) {
+    Row& row = at(team);
+    row.allowed_cores = cores;
+    row.allowed_gpus = gpus;
+    row.stamp = stamp;
   }
   [[nodiscard]] bool room(int team, const Resources& demand) const {
     const Row& row = at(team);
-    return row.cores + demand[0] <= row.team.cpus_max + kSlop &&
-           row.gpus + demand[2] <= row.team.gpus_max + kSlop;
+    return row.cores + demand[0] <= row.allowed_cores + kSlop &&
+           row.gpus + demand[2] <= row.allowed_gpus + kSlop;
   }
+  // The part's share of the guarantee is that of its allowance.
   [[nodiscard]] bool in_guarantee(int team, const Resources& demand) const {
     const Row& row = at(team);
-    return row.cores + demand[0] <= row.team.cpus + kSlop && row.gpus + demand[2] <= row.team.gpus + kSlop;
+    const double cores = row.team.cpus * share(row.allowed_cores, row.team.cpus_max);
+    const double gpus = row.team.gpus * share(row.allowed_gpus, row.team.gpus_max);
+    return row.cores + demand[0] <= cores + kSlop && row.gpus + demand[2] <= gpus + kSlop;
   }
-  // Tasks of this size that the team's limit still lets in.
-  [[nodiscard]] int tasks_within_limit(int team, const Resources& demand) const {
-    const Row& row = at(team);
+  // Tasks of this size that the allowance still lets in.
+  [[nodiscard]] int tasks_within(int team, const Resources& demand) const {
     double count = 1e6;
-    if (demand[0] > 0) count = std::min(count, (row.team.cpus_max - row.cores + kSlop) / demand[0]);
-    if (demand[2] > 0) count = std::min(count, (row.team.gpus_max - row.gpus + kSlop) / demand[2]);
+    if (demand[0] > 0) count = std::min(count, (spare_cores(team) + kSlop) / demand[0]);
+    if (demand[2] > 0) count = std::min(count, (spare_gpus(team) + kSlop) / demand[2]);
     return std::max(0, static_cast<int>(count));
   }
   void add(int team, const Resources& demand) {
-    rows_[static_cast<std::size_t>(team)].cores += demand[0];
-    rows_[static_cast<std::size_t>(team)].gpus += demand[2];
+    at(team).cores += demand[0];
+    at(team).gpus += demand[2];
   }
   void remove(int team, const Resources& demand) {
-    rows_[static_cast<std::size_t>(team)].cores -= demand[0];
-    rows_[static_cast<std::size_t>(team)].gpus -= demand[2];
+    at(team).cores -= demand[0];
+    at(team).gpus -= demand[2];
   }
+  [[nodiscard]] std::size_t size() const { return rows_.size(); }
   [[nodiscard]] double cores(int team) const { return at(team).cores; }
+  [[nodiscard]] double allowed_cores(int team) const { return at(team).allowed_cores; }
+  [[nodiscard]] double allowed_gpus(int team) const { return at(team).allowed_gpus; }
+  [[nodiscard]] double spare_cores(int team) const {
+    return std::max(0.0, at(team).allowed_cores - at(team).cores);
+  }
+  [[nodiscard]] double spare_gpus(int team) const {
+    return std::max(0.0, at(team).allowed_gpus - at(team).gpus);
+  }
+  [[nodiscard]] std::uint64_t stamp(int team) const { return at(team).stamp; }
 
  private:
   // Sums of decimal fractions come out a hair off; far below any real demand.
   static constexpr double kSlop = 1e-9;
   struct Row {
     Team team;
+    double allowed_cores = 0;
+    double allowed_gpus = 0;
     double cores = 0;
     double gpus = 0;
+    std::uint64_t stamp = 0;
   };
+  static double share(double part, double whole) { return whole > 0 ? part / whole : 0; }
   [[nodiscard]] const Row& at(int team) const { return rows_[static_cast<std::size_t>(team)]; }
+  Row& at(int team) { return rows_[static_cast<std::size_t>(team)]; }
   std::vector<Row> rows_;
 };
 
--- a/src/bookkeeping/records.cpp
+++ b/src/bookkeeping/records.cpp
@@ -54,6 +54,31 @@
   return out;
 }
 
+Json BlockRecord::to_json() const {
+  return {{"home", home},
+          {"stamp", head_stamp},
+          {"head", head.to_json()},
+          {"range", range.to_text()},
+          {"done", done.to_text()}};
+}
+
+std::optional<BlockRecord> BlockRecord::from_json(const Json& value) {
+  if (!value.is_object() || !value.contains("head")) return std::nullopt;
+  auto head = HeadRecord::from_json(value["head"]);
+  if (!head) return std::nullopt;
+  BlockRecord out;
+  out.home = value.value("home", 0);
+  out.head_stamp = value.value("stamp", std::uint64_t{0});
+  const int pieces = head->spec.pieces;
+  out.head = std::move(*head);
+  auto range = RangeSet::from_text(value.value("range", ""), pieces);
+  auto done = RangeSet::from_text(value.value("done", ""), pieces);
+  if (!range || !done) return std::nullopt;
+  out.range = std::move(*range);
+  out.done = std::move(*done);
+  return out;
+}
+
 Json ending_json(const char* phase, int pieces) { return {{"phase", phase}, {"pieces", pieces}}; }
 
 }  // namespace mothslip
--- a/src/bookkeeping/records.hpp
+++ b/src/bookkeeping/records.hpp
@@ -7,6 +7,8 @@
 //   d/P/REF                  progress of an open job: the done indices as ranges
 //   e/P/REF                  how a job ended; kept for good
 //   h/P/HOST                 a machine's placements
+//   b/Q/REF~N                a block of a job's tasks, lent to part Q, and which of them are done
+//   t/TEAM                   how a team's limits are split among the parts
 //   rentals/NAME             a rental that may be on its way
 #pragma once
 
@@ -24,6 +26,9 @@
 inline const std::string kTypes = "types";
 inline const std::string kParts = "parts/";
 inline const std::string kRentals = "rentals/";
+inline const std::string kHeads = "j/";
+inline const std::string kBlocks = "b/";
+inline const std::string kTeams = "t/";
 inline std::string part(int p) { return kParts + std::to_string(p); }
 inline std::string heads(int p) { return "j/" + std::to_string(p) + "/"; }
 inline std::string progresses(int p) { return "d/" + std::to_string(p) + "/"; }
@@ -33,6 +38,10 @@
 inline std::string progress(int p, const std::string& ref) { return progresses(p) + ref; }
 inline std::string ending(int p, const std::string& ref) { return endings(p) + ref; }
 inline std::string host(int p, const std::string& name) { return hosts(p) + name; }
+inline std::string blocks(int p, const std::string& ref) {
+  return kBlocks + std::to_string(p) + "/" + ref + "~";
+}
+inline std::string team(int index) { return kTeams + std::to_string(index); }
 inline std::string rental(const std::string& name) { return kRentals + name; }
 }  // namespace keys
 
@@ -64,6 +73,21 @@
   static std::optional<HostRecord> from_json(const Json& value);
 };
 
+// Tasks of a job that its home part lent to another. The home creates it, and deletes it once every task in
+// it is done; in between only the borrower writes: it notes what is done, and gives back by shrinking the
+// range.
+struct BlockRecord {
+  int home = 0;
+  std::uint64_t head_stamp = 0;
+  HeadRecord head;
+  RangeSet range;
+  RangeSet done;
+
+  [[nodiscard]] bool complete() const { return done.size() == range.size(); }
+  [[nodiscard]] Json to_json() const;
+  static std::optional<BlockRecord> from_json(const Json& value);
+};
+
 Json ending_json(const char* phase, int pieces);
 
 }  // namespace mothslip
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "bookkeeping/records.hpp"
+
 namespace mothslip {
 
 namespace {
@@ -19,6 +21,7 @@
     8.0;                           // beyond the worker's lease: the tasks are gone, and so may be the machine
 constexpr double kPatient = 60.0;  // a job without deadline or wish may wait this long before it costs money
 constexpr double kNoteEvery = 10.0;
+constexpr double kSummaryGood = 5.0;  // a part's summary is believed this long
 constexpr double kWindReserve = 0.2;  // of recent use, free on the other machines
 constexpr int kRentCalls = 8;
 }  // namespace
@@ -58,14 +61,11 @@
 
 void Fleet::step() {
   const double now = ctx_.env->now();
-  if (ctx_.part->active() && ctx_.lease_valid()) {
+  if (ctx_.lease_valid()) {
     double used = 0;
-    for (const auto& [ref, job] : ctx_.part->jobs()) {
-      if (!job->over()) used += (job->placed + job->waiting.size()) * job->demand[0];
-    }
+    for (const auto& [part, told] : summaries_) used += told.summary.used_cores;
     const double weight = std::min(1.0, (now - last_step_) / kSmooth);
     used_cores_ += (used - used_cores_) * weight;
-    note_reporting();
     judge();
     send_returns();
     plan();
@@ -150,22 +150,53 @@
   }
 }
 
-const Machine* Fleet::reporting(const std::string& host) const {
-  const auto& machines = ctx_.part->machines();
-  const auto it = machines.find(host);
-  return it == machines.end() ? nullptr : it->second.get();
+const MachineSummary* Fleet::reporting(const std::string& host) const {
+  const auto it = machines_.find(host);
+  return it == machines_.end() ? nullptr : it->second;
+}
+
+// Whether the owner of the machine's part has told us of its machines lately.
+bool Fleet::heard_of(const std::string& host) const {
+  const auto it = summaries_.find(part_of(host, ctx_.parts));
+  return it != summaries_.end() && ctx_.env->now() - it->second.at < kSummaryGood;
+}
+
+FleetOrders Fleet::take(PartSummary summary) {
+  const int part = summary.part;
+  for (auto it = machines_.begin(); it != machines_.end();) {
+    it = part_of(it->first, ctx_.parts) == part ? machines_.erase(it) : std::next(it);
+  }
+  Told& told = summaries_[part];
+  told.at = ctx_.env->now();
+  told.summary = std::move(summary);
+  for (const MachineSummary& machine : told.summary.machines) machines_[machine.name] = &machine;
+  note_reporting(told.summary);
+  FleetOrders orders;
+  for (const MachineSummary& machine : told.summary.machines) {
+    const auto it = rented_.find(machine.name);
+    if (it == rented_.end()) continue;
+    if (it->second.returned) {
+      orders.gone.push_back(machine.name);
+    } else if (it->second.returning) {
+      orders.draining.push_back(machine.name);
+    } else if (winding_.count(machine.name) > 0) {
+      orders.winding.push_back(machine.name);
+    }
+  }
+  return orders;
 }
 
 // Machines that nobody here remembers asking for report like any other; they are used, or returned.
-void Fleet::note_reporting() {
-  for (const auto& [name, machine] : ctx_.part->machines()) {
-    if (machine->type < 0) continue;
-    auto [it, fresh] = rented_.try_emplace(name);
+void Fleet::note_reporting(const PartSummary& summary) {
+  for (const MachineSummary& machine : summary.machines) {
+    const int type = ctx_.types->find(machine.flavour);
+    if (type < 0) continue;
+    auto [it, fresh] = rented_.try_emplace(machine.name);
     if (!fresh) continue;
-    it->second.type = machine->type;
-    it->second.hall = machine->hall;
-    it->second.spot = machine->record.loaner;
-    it->second.address = machine->record.address;
+    it->second.type = type;
+    it->second.hall = ctx_.halls->intern(machine.hall);
+    it->second.spot = machine.spot;
+    it->second.address = machine.address;
     it->second.rented_at = ctx_.env->now();
   }
 }
@@ -174,7 +205,6 @@
   if (rented.returning) return;
   rented.returning = true;
   rented.why = why;
-  ctx_.part->set_draining(host, true);
   spdlog::info("{} to be returned: {}", host, why);
 }
 
@@ -183,9 +213,9 @@
   const double lease = ctx_.settings->lease_s;
   int heard = 0;
   int silent = 0;
-  for (const auto& [name, machine] : ctx_.part->machines()) {
+  for (const auto& [name, machine] : machines_) {
     heard++;
-    if (now - machine->last_heard > lease) silent++;
+    if (machine->silent_s > lease) silent++;
   }
   // When most are silent, the fault is more likely on our side of the network.
   const double patience = heard >= 4 && silent * 2 > heard ? 3 * lease : lease + kSilentExtra;
@@ -193,11 +223,10 @@
   for (auto it = rented_.begin(); it != rented_.end();) {
     const std::string& name = it->first;
     Rented& rented = it->second;
-    const Machine* machine = reporting(name);
+    const MachineSummary* machine = reporting(name);
     const double age = now - rented.rented_at;
-    if (machine == nullptr && rented.missing >= 2 && age > 3 * lag + 5 && list_complete_) {
-      // Never heard here, and not listed any more: taken or deleted.
-      it = rented_.erase(it);
+    if (!heard_of(name)) {
+      ++it;  // it may well be up: its owner has only not told us
       continue;
     }
     if (rented.returned) {
@@ -209,6 +238,11 @@
       }
       continue;
     }
+    if (machine == nullptr && rented.missing >= 2 && age > 3 * lag + 5 && list_complete_) {
+      // Never heard here, and not listed any more: taken or deleted.
+      it = rented_.erase(it);
+      continue;
+    }
     if (!rented.returning) {
       if (rented.failed) {
         start_return(name, rented, "failed");
@@ -217,7 +251,7 @@
         if (age > kBootLost * boot + 10) start_return(name, rented, "never came up");
       } else if (machine->sick) {
         start_return(name, rented, "sick");
-      } else if (now - machine->last_heard > patience) {
+      } else if (machine->silent_s > patience) {
         start_return(name, rented, "silent");
       }
     }
@@ -228,32 +262,26 @@
 void Fleet::send_returns() {
   if (return_call_ || !ctx_.cloud->ready()) return;
   std::vector<std::string> hosts;
-  const double now = ctx_.env->now();
   for (auto& [name, rented] : rented_) {
-    if (!rented.returning || rented.returned || hosts.size() >= 100) continue;
-    const Machine* machine = reporting(name);
+    if (!rented.returning || rented.returned || hosts.size() >= 100 || !heard_of(name)) continue;
+    const MachineSummary* machine = reporting(name);
     // Drained first, unless nothing on it can be saved by waiting.
-    const bool lost =
-        machine == nullptr || rented.failed || now - machine->last_heard > ctx_.settings->lease_s;
-    const bool empty =
-        machine != nullptr && machine->placements.empty() && !machine->inflight && !machine->dirty;
-    if (lost || empty) hosts.push_back(name);
+    const bool lost = machine == nullptr || rented.failed || machine->silent_s > ctx_.settings->lease_s;
+    const bool drained = machine != nullptr && machine->draining && machine->empty;
+    if (lost || drained) hosts.push_back(name);
   }
   if (hosts.empty()) return;
   return_call_ = true;
   ctx_.cloud->give_back(hosts, alive([this, hosts](const CloudReply& reply) {
                           return_call_ = false;
-                          // Anything but a 200 may or may not have worked: the request is repeated until it
-                          // is confirmed.
+                          // Anything but a 200 may or may not have worked: it is repeated until confirmed.
                           if (reply.status != 200) return;
                           for (const std::string& host : hosts) {
                             const auto it = rented_.find(host);
-                            if (it != rented_.end()) {
-                              it->second.returned = true;
-                              it->second.returned_at = ctx_.env->now();
-                              spdlog::info("{} returned", host);
-                            }
-                            ctx_.part->machine_gone(host);
+                            if (it == rented_.end()) continue;
+                            it->second.returned = true;
+                            it->second.returned_at = ctx_.env->now();
+                            spdlog::info("{} returned", host);
                           }
                         }));
 }
@@ -262,65 +290,53 @@
 
 std::vector<FleetDemand> Fleet::demands() const {
   std::vector<FleetDemand> out;
-  std::vector<const Job*> jobs;
-  for (const auto& [ref, job] : ctx_.part->jobs()) {
-    if (!job->over() && (!job->waiting.empty() || !job->backoff.empty())) jobs.push_back(job.get());
+  std::vector<const DemandSummary*> all;
+  std::map<int, double> claimed;  // by team: cores in use, then also those asked for by jobs before
+  const double now = ctx_.env->now();
+  for (const auto& [part, told] : summaries_) {
+    if (now - told.at > kSummaryGood) continue;
+    for (const DemandSummary& demand : told.summary.demands) all.push_back(&demand);
+    for (const auto& [team, cores] : told.summary.used_by_team) claimed[team] += cores;
   }
-  std::sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
-    if (a->spec().urgency != b->spec().urgency) return a->spec().urgency > b->spec().urgency;
-    return a->head.submitted < b->head.submitted;
+  std::sort(all.begin(), all.end(), [](const DemandSummary* a, const DemandSummary* b) {
+    return a->urgency != b->urgency ? a->urgency > b->urgency : a->submitted < b->submitted;
   });
-  std::map<int, double> claimed;  // by team, cores asked for by jobs before
-  const double wall = ctx_.env->wall();
-  for (const Job* job : jobs) {
-    const JobSpec& spec = job->spec();
-    int count = job->waiting.size() + static_cast<int>(job->backoff.size());
-    int within = ctx_.part->teams().tasks_within_limit(job->team, job->demand);
-    if (job->demand[0] > 0) within -= static_cast<int>(claimed[job->team] / job->demand[0]);
-    count = std::min(count, within);
+  for (const DemandSummary* wanted : all) {
+    if (wanted->team < 0 || wanted->team >= static_cast<int>(ctx_.settings->teams.size())) continue;
+    int count = wanted->count;
+    double& used = claimed[wanted->team];
+    if (wanted->demand[0] > 0) {
+      const double most = ctx_.settings->teams[static_cast<std::size_t>(wanted->team)].cpus_max - used;
+      count = std::min(count, static_cast<int>(std::max(0.0, most) / wanted->demand[0]));
+    }
     if (count <= 0) continue;
-    claimed[job->team] += count * job->demand[0];
+    used += count * wanted->demand[0];
     FleetDemand demand;
-    demand.demand = job->demand;
+    demand.demand = wanted->demand;
     demand.count = count;
-    demand.rank = static_cast<int>(spec.urgency);
-    demand.guess_s = spec.guess_s;
-    demand.pull_gb = spec.pull_gb;
-    if (spec.due_s) demand.time_left_s = job->head.submitted + *spec.due_s - wall;
-    const auto wish = start_wish_.find(spec.workload);
-    if (wish != start_wish_.end()) {
-      demand.start_within_s = wish->second;
-    } else {
-      demand.start_within_s = guarantee_wish_;
-    }
-    demand.spot_allowed = spec.loaner;
-    if (spec.flavours) {
+    demand.rank = wanted->urgency;
+    demand.guess_s = wanted->guess_s;
+    demand.pull_gb = wanted->pull_gb;
+    demand.time_left_s = wanted->time_left_s;
+    const auto wish = start_wish_.find(wanted->workload);
+    demand.start_within_s = wish != start_wish_.end() ? wish->second : guarantee_wish_;
+    demand.spot_allowed = wanted->loaner;
+    if (!wanted->flavours.empty()) {
       demand.types.assign(ctx_.types->all().size(), 0);
-      for (const std::string& flavour : *spec.flavours) {
+      for (const std::string& flavour : wanted->flavours) {
         const int type = ctx_.types->find(flavour);
         if (type >= 0) demand.types[static_cast<std::size_t>(type)] = 1;
       }
     }
-    if (spec.hall) demand.hall = ctx_.halls->intern(*spec.hall);
+    if (!wanted->hall.empty()) demand.hall = ctx_.halls->intern(wanted->hall);
     out.push_back(std::move(demand));
   }
   return out;
 }
 
-// How long a placed task may still hold its room. Estimates are often too low: one that is overdue is taken
-// to need a part of what it has had.
-double Fleet::remaining(const Placement& placement, const FleetType& type, double now) {
-  const JobSpec& spec = placement.job->spec();
-  if (placement.running_since == 0)
-    return spec.guess_s + 0.5 * spec.pull_gb / std::max(0.01, type.pull_gb_per_s);
-  const double ran = now - placement.running_since;
-  return std::max(spec.guess_s - ran, 0.25 * std::max(ran, 4.0));
-}
-
 void Fleet::plan() {
   if (rent_calls_ >= kRentCalls) return;
   const double now = ctx_.env->now();
-  const double lease = ctx_.settings->lease_s;
   const Tuning& tuning = ctx_.settings->tuning;
 
   std::vector<FleetType> types;
@@ -335,7 +351,6 @@
     out.pull_gb_per_s = type.pull_gb_per_s;
     for (const std::string& name : type.halls) {
       const int hall = ctx_.halls->intern(name);
-      out.halls.push_back(hall);
       for (const bool spot : {true, false}) {
         FleetMarket market;
         market.type = static_cast<int>(t);
@@ -352,32 +367,24 @@
   std::vector<std::string> names;
   for (const auto& [name, rented] : rented_) {
     if (rented.returned) continue;
-    const Machine* machine = reporting(name);
+    const MachineSummary* machine = reporting(name);
     FleetMachine out;
     out.type = rented.type;
     out.hall = rented.hall;
     out.spot = rented.spot;
     const FleetType& type = types[static_cast<std::size_t>(rented.type)];
     if (machine != nullptr) {
-      out.usable = machine->type >= 0 && machine->welcome() && !rented.returning &&
-                   now - machine->last_heard < lease / 2;
-      out.rooms.push_back({0, machine->room});
-      for (const Placement& placement : machine->placements) {
-        out.rooms.push_back({remaining(placement, type, now), placement.job->demand});
-      }
-      std::sort(out.rooms.begin(), out.rooms.end(),
-                [](const FleetRoom& a, const FleetRoom& b) { return a.at_s < b.at_s; });
+      out.usable = machine->welcome && !rented.returning;
+      out.rooms = machine->rooms;
     } else {
       const double age = now - rented.rented_at;
       out.usable = !rented.returning && !rented.failed && age < kBootLate * type.boot_s;
       out.rooms.push_back({std::max(2.0, type.boot_s - age), type.capacity});
     }
     for (FleetMarket& market : markets) {
-      if (market.type == out.type && market.hall == out.hall && market.spot == out.spot) {
-        market.rented++;
-      }
+      if (market.type == out.type && market.hall == out.hall && market.spot == out.spot) market.rented++;
     }
-    machines.push_back(out);
+    machines.push_back(std::move(out));
     names.push_back(name);
   }
 
@@ -394,34 +401,27 @@
 
   if (now >= next_note_) {
     next_note_ = now + kNoteEvery;
-    int up = 0;
     int booting = 0;
     double free = 0;
     double total = 0;
-    for (std::size_t m = 0; m < names.size(); m++) {
-      const Machine* machine = reporting(names[m]);
+    for (const std::string& name : names) {
+      const MachineSummary* machine = reporting(name);
       if (machine == nullptr) {
         booting++;
         continue;
       }
-      up++;
-      free += machine->room[0];
-      total += machine->capacity[0];
+      free += machine->rooms.empty() ? 0 : machine->rooms.front().room[0];
+      total += ctx_.types->at(rented_[name].type).cores;
     }
     double waiting = 0;
-    int jobs = 0;
-    for (const auto& [ref, job] : ctx_.part->jobs()) {
-      if (job->over()) continue;
-      waiting += (job->waiting.size() + static_cast<double>(job->backoff.size())) * job->demand[0];
-      jobs++;
-    }
-    spdlog::info(
-        "fleet: {} up, {} booting, {:.0f} of {:.0f} cores free; {} jobs, {:.0f} cores waiting, use {:.0f}",
-        up, booting, free, total, jobs, waiting, used_cores_);
+    for (const FleetDemand& demand : wanted) waiting += demand.rank < 0 ? 0 : demand.count * demand.demand[0];
+    spdlog::info("fleet: {} up, {} not yet, {:.0f} of {:.0f} cores free; {:.0f} cores waiting, use {:.0f}",
+                 names.size() - static_cast<std::size_t>(booting), booting, free, total, waiting,
+                 used_cores_);
   }
 
-  // Nothing is rented before a first look at what there is, unless nothing can be there.
-  if (list_complete_) {
+  // Nothing is rented before a first look at what there is, from the cloud and from every part.
+  if (list_complete_ && static_cast<int>(summaries_.size()) == ctx_.parts) {
     for (const FleetPlan::Rent& each : result.rents) {
       if (rent_calls_ >= kRentCalls || !ctx_.cloud->ready()) break;
       rent(each);
@@ -435,10 +435,9 @@
   double best_price = -1;
   std::size_t best = names.size();
   for (std::size_t m = 0; m < names.size(); m++) {
-    const Machine* machine = reporting(names[m]);
-    if (machine == nullptr || !machines[m].usable || result.needed_rooms[m] > 0) continue;
-    if (!machine->placements.empty() || machine->inflight || machine->dirty) continue;
-    if (now - machine->busy_at < (machines[m].spot ? tuning.idle_return_s : tuning.idle_ordinary_s)) continue;
+    const MachineSummary* machine = reporting(names[m]);
+    if (machine == nullptr || !machines[m].usable || result.needed_rooms[m] > 0 || !machine->empty) continue;
+    if (machine->idle_s < (machines[m].spot ? tuning.idle_return_s : tuning.idle_ordinary_s)) continue;
     const FleetType& type = types[static_cast<std::size_t>(machines[m].type)];
     const double price = (machines[m].spot ? type.spot_price : type.hourly) / std::max(1.0, type.capacity[0]);
     if (price > best_price) {
@@ -453,33 +452,37 @@
 // waits and a reserve without it, it takes nothing new; when work waits again, it does.
 void Fleet::wind_down(const std::vector<std::string>& names, const std::vector<FleetMachine>& machines,
                       const std::vector<FleetType>& types) {
+  winding_.clear();
   double waiting = 0;
-  for (const auto& [ref, job] : ctx_.part->jobs()) {
-    if (!job->over()) waiting += job->waiting.size() * job->demand[0];
+  for (const auto& [part, told] : summaries_) {
+    for (const DemandSummary& demand : told.summary.demands) waiting += demand.count * demand.demand[0];
   }
   std::vector<std::pair<double, std::size_t>> ordinary;
   double free = 0;
+  const auto room_now = [this, &names](std::size_t m) {
+    const MachineSummary* machine = reporting(names[m]);
+    return machine->rooms.empty() ? 0.0 : std::max(0.0, machine->rooms.front().room[0]);
+  };
   for (std::size_t m = 0; m < names.size(); m++) {
-    const Machine* machine = reporting(names[m]);
-    if (machine == nullptr || !machines[m].usable) continue;
-    free += std::max(0.0, machine->room[0]);
+    if (reporting(names[m]) == nullptr || !machines[m].usable) continue;
+    free += room_now(m);
     const FleetType& type = types[static_cast<std::size_t>(machines[m].type)];
     if (!machines[m].spot) ordinary.emplace_back(-type.hourly / std::max(1.0, type.capacity[0]), m);
   }
   std::sort(ordinary.begin(), ordinary.end());
   const double reserve = kWindReserve * used_cores_;
   for (const auto& [price, m] : ordinary) {
-    const double own = std::max(0.0, reporting(names[m])->room[0]);
-    const bool wind = free - own - waiting > reserve;
-    if (wind) free -= own;
-    ctx_.part->set_winding(names[m], wind);
+    const double own = room_now(m);
+    if (free - own - waiting <= reserve) continue;
+    free -= own;
+    winding_.insert(names[m]);
   }
 }
 
 // ---------------------------------------------------------------- renting
 
 void Fleet::rent(const FleetPlan::Rent& wanted) {
-  const std::string name = "r-" + std::to_string(ctx_.part->baton()) + "-" + std::to_string(++next_name_);
+  const std::string name = "r-" + std::to_string(ctx_.baton) + "-" + std::to_string(++next_name_);
   Rental rental;
   rental.request = {name, ctx_.types->at(wanted.type).name, ctx_.halls->name(wanted.hall), wanted.spot,
                     std::min(50, wanted.count)};
@@ -492,7 +495,7 @@
 void Fleet::record_rental(const std::string& name) {
   const RentalRequest& request = rentals_.at(name).request;
   Transaction txn;
-  txn.guard(keys::part(ctx_.part->id()), ctx_.part->baton());
+  txn.guard(keys::part(0), ctx_.baton);
   txn.put(keys::rental(name), {{"flavour", request.flavour},
                                {"hall", request.hall},
                                {"loaner", request.loaner},
@@ -562,7 +565,7 @@
 void Fleet::drop_rental(const std::string& name) {
   rentals_.erase(name);
   Transaction txn;
-  txn.guard(keys::part(ctx_.part->id()), ctx_.part->baton());
+  txn.guard(keys::part(0), ctx_.baton);
   txn.remove(keys::rental(name));
   ctx_.state->commit(Lane::kRest, txn, [](const StateReply&) {});
 }
--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -12,7 +12,9 @@
 #include <vector>
 
 #include "coordination/cloud_client.hpp"
-#include "coordination/part.hpp"
+#include "coordination/state_client.hpp"
+#include "coordination/summary.hpp"
+#include "protocol/names.hpp"
 #include "scheduling/sizing.hpp"
 
 namespace mothslip {
@@ -26,13 +28,16 @@
     const Settings* settings = nullptr;
     const MachineTypes* types = nullptr;
     NameTable* halls = nullptr;
-    Part* part = nullptr;
+    std::uint64_t baton = 0;  // of part 0
+    int parts = 1;
     std::function<bool()> lease_valid;
     std::function<void(MachineTypes)> new_types;
   };
   explicit Fleet(Context context);
 
   void start();
+  // A part tells of its machines and its waiting tasks, and hears what to do with its machines.
+  FleetOrders take(PartSummary summary);
 
  private:
   struct Rented {
@@ -66,7 +71,8 @@
   void poll_list(const std::string& from);
   void take_list_page(const Json& body);
   void end_list();
-  void note_reporting();
+  void note_reporting(const PartSummary& summary);
+  [[nodiscard]] bool heard_of(const std::string& host) const;
   void judge();
   void plan();
   void wind_down(const std::vector<std::string>& names, const std::vector<FleetMachine>& machines,
@@ -77,18 +83,25 @@
   void drop_rental(const std::string& name);
   void send_returns();
   void start_return(const std::string& host, Rented& rented, const std::string& why);
-  [[nodiscard]] const Machine* reporting(const std::string& host) const;
+  [[nodiscard]] const MachineSummary* reporting(const std::string& host) const;
   [[nodiscard]] std::vector<FleetDemand> demands() const;
-  [[nodiscard]] static double remaining(const Placement& placement, const FleetType& type, double now);
+
   template <typename F>
   auto alive(F f) {
-    return [token = std::weak_ptr<bool>(alive_), f = std::move(f)](auto&&... args) {
+    return [token = std::weak_ptr<bool>(alive_), f = std::move(f)](auto&&... args) mutable {
       if (!token.expired()) f(std::forward<decltype(args)>(args)...);
     };
   }
 
   Context ctx_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  struct Told {
+    PartSummary summary;
+    double at = 0;
+  };
+  std::map<int, Told> summaries_;                          // by part
+  std::map<std::string, const MachineSummary*> machines_;  // those in the summaries
+  std::set<std::string> winding_;
   std::map<std::string, double> start_wish_;  // by workload: tasks are wanted to start within
   int next_name_ = 0;
   std::map<std::string, Rented> rented_;
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -9,6 +9,8 @@
 namespace {
 constexpr double kBeat = 2.0;
 constexpr double kRetry = 0.7;
+constexpr double kFleetEvery = 1.0;
+constexpr double kAskSeconds = 1.0;
 constexpr double kCountersEvery = 30.0;
 // Of the state service's limits: what every node may use for its users, and what goes with the parts.
 constexpr double kUsersShare = 0.3;
@@ -27,12 +29,14 @@
                 const auto it = parts_.find(index);
                 return it != parts_.end() && it->second->active() ? it->second.get() : nullptr;
               },
-              [this](const std::string& node) {
-                for (const Member& member : settings_.members) {
-                  if (member.node == node) return member.address;
-                }
-                return std::string();
-              }}) {}
+              [this](const std::string& node) { return address_of(node); }}) {}
+
+std::string Node::address_of(const std::string& node) const {
+  for (const Member& member : settings_.members) {
+    if (member.node == node) return member.address;
+  }
+  return "";
+}
 
 Node::~Node() = default;
 
@@ -45,7 +49,8 @@
   share_calls();
   ownership_.start();
   load_types();
-  beat();
+  env_.after(kBeat, [this] { beat(); });
+  env_.after(kFleetEvery, [this] { report_to_fleet(); });
   env_.after(kCountersEvery, [this] { log_counters(); });
 }
 
@@ -122,6 +127,9 @@
   context.settings = &settings_;
   context.types = &types_;
   context.halls = &halls_;
+  context.parts = ownership_.parts();
+  context.ask = [this](int other, const std::string& path, const Json& body,
+                       std::function<void(Json)> answer) { ask(other, path, body, std::move(answer)); };
   context.lease_valid = [this] { return ownership_.valid(); };
   // Both end the part that calls: they run after its own code has returned.
   context.abdicate = [this, part, baton](const std::string& why) {
@@ -148,7 +156,8 @@
     fleet.settings = &settings_;
     fleet.types = &types_;
     fleet.halls = &halls_;
-    fleet.part = raw;
+    fleet.baton = baton;
+    fleet.parts = ownership_.parts();
     fleet.lease_valid = [this] { return ownership_.valid(); };
     fleet.new_types = [this](MachineTypes types) {
       env_.after(0, [this, types = std::move(types)]() mutable { take_types(std::move(types), false); });
@@ -156,7 +165,67 @@
     fleet_ = std::make_unique<Fleet>(std::move(fleet));
     fleet_->start();
   }
-  beat();
+  tell_peers();
+}
+
+void Node::ask(int part, const std::string& path, const Json& body, std::function<void(Json)> answer) {
+  const auto it = parts_.find(part);
+  if (it != parts_.end()) {
+    env_.after(0, [this, part, path, body, answer = std::move(answer)] {
+      const auto found = parts_.find(part);
+      answer(found == parts_.end() ? Json() : found->second->on_peer(path, body));
+    });
+    return;
+  }
+  const std::string address = address_of(ownership_.owner(part).node);
+  if (address.empty()) {
+    env_.after(kAskSeconds / 2, [answer = std::move(answer)] { answer(Json()); });
+    return;
+  }
+  const Json message = {{"to", part}, {"body", body}};
+  env_.call({address, "POST", path, dump_json(message), kAskSeconds},
+            [answer = std::move(answer)](const HttpReply& reply) {
+              answer(reply.status == 200 ? parse_json(reply.body) : Json());
+            });
+}
+
+void Node::on_peer(const HttpRequest& request, const Responder& responder) {
+  const Json message = parse_json(request.body);
+  if (!message.is_object() || !message.contains("body")) {
+    return responder.send(400, R"({"error":"malformed"})");
+  }
+  const Json& body = message["body"];
+  if (request.path == "/peer/summary") {
+    auto summary = PartSummary::from_json(body);
+    if (!summary) return responder.send(400, R"({"error":"malformed"})");
+    if (!fleet_) return responder.send(421, R"({"error":"no fleet here"})");
+    return responder.send(200, dump_json(fleet_->take(std::move(*summary)).to_json()));
+  }
+  const auto it = parts_.find(message.value("to", -1));
+  if (it == parts_.end()) return responder.send(421, R"({"error":"not the owner"})");
+  responder.send(200, dump_json(it->second->on_peer(request.path, body)));
+}
+
+// Each part tells the fleet, wherever that is, and does as it is told.
+void Node::report_to_fleet() {
+  env_.after(kFleetEvery, [this] { report_to_fleet(); });
+  for (auto& [index, part] : parts_) {
+    if (!part->active()) continue;
+    if (fleet_) {
+      part->apply(fleet_->take(part->summary()));
+      continue;
+    }
+    const std::string address = ownership_.parts() > 0 ? address_of(ownership_.owner(0).node) : "";
+    if (address.empty()) continue;
+    const Json message = {{"to", 0}, {"body", part->summary().to_json()}};
+    env_.call({address, "POST", "/peer/summary", dump_json(message), kAskSeconds},
+              [this, index = index, baton = part->baton()](const HttpReply& reply) {
+                if (reply.status != 200) return;
+                const auto found = parts_.find(index);
+                if (found == parts_.end() || found->second->baton() != baton) return;
+                found->second->apply(FleetOrders::from_json(parse_json(reply.body)));
+              });
+  }
 }
 
 void Node::lost(int part) {
@@ -176,6 +245,11 @@
 
 // Owners tell the others, so that one whom the state service cannot reach hears that it was deposed.
 void Node::beat() {
+  tell_peers();
+  env_.after(kBeat, [this] { beat(); });
+}
+
+void Node::tell_peers() {
   Json owned = Json::array();
   for (const auto& [index, part] : parts_) owned.push_back({{"part", index}, {"baton", part->baton()}});
   if (!owned.empty()) {
@@ -218,6 +292,9 @@
   if (request.path == "/peer/beat") {
     if (request.method != "POST") return responder.send(405, R"({"error":"method"})");
     on_beat(request, responder);
+  } else if (request.path.rfind("/peer/", 0) == 0) {
+    if (request.method != "POST") return responder.send(405, R"({"error":"method"})");
+    on_peer(request, responder);
   } else {
     on_users(request, true, responder);
   }
@@ -282,11 +359,12 @@
   for (const auto& [index, part] : parts_) {
     const auto& c = part->counters();
     spdlog::info(
-        "part {}: reports {}, launches {}, fetches {}, again {}, done {}, errors {}, freed by lease {} "
+        "part {}: reports {}, launches {}, fetches {}, again {}, done {}, lent {}, borrowed {}, back {}, "
+        "errors {}, freed by lease {} "
         "session {} return "
         "{}",
-        index, c.reports, c.launches, c.fetches, c.relaunches, c.completions, c.errors, c.freed_by_lease,
-        c.freed_by_tenure, c.freed_by_return);
+        index, c.reports, c.launches, c.fetches, c.relaunches, c.completions, c.lent, c.borrowed,
+        c.given_back, c.errors, c.freed_by_lease, c.freed_by_tenure, c.freed_by_return);
   }
   env_.after(kCountersEvery, [this] { log_counters(); });
 }
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -37,6 +37,11 @@
   void open_part(int part);
   void share_calls();
   void beat();
+  void tell_peers();
+  void report_to_fleet();
+  void ask(int part, const std::string& path, const Json& body, std::function<void(Json)> answer);
+  void on_peer(const HttpRequest& request, const Responder& responder);
+  [[nodiscard]] std::string address_of(const std::string& node) const;
   void on_users(const HttpRequest& request, bool forwarded, const Responder& responder);
   void on_hello(const HttpRequest& request, const Responder& responder);
   void on_beat(const HttpRequest& request, const Responder& responder);
--- a/src/coordination/ownership.cpp
+++ b/src/coordination/ownership.cpp
@@ -10,13 +10,21 @@
 namespace mothslip {
 
 namespace {
-constexpr int kParts = 1;
+constexpr int kParts = 3;
+constexpr double kSteady = 15.0;  // a node that has been back this long gets its parts back
+constexpr double kHomeEvery = 3.0;
 constexpr double kTtl = 4.0;
 constexpr double kRenewEvery = 1.0;
 constexpr double kDrift = 0.001;  // twice what the protocol allows
 constexpr double kMargin = 0.05;
 constexpr double kRetry = 0.3;
 constexpr double kWatch = 20.0;
+
+// "parts/@roost-1" says that the node lives; it goes with its lease.
+std::string node_of(const std::string& key) {
+  const std::size_t at = keys::kParts.size();
+  return key.size() > at + 1 && key[at] == '@' ? key.substr(at + 1) : "";
+}
 }  // namespace
 
 Ownership::Ownership(Env& env, StateClient& state, const Settings& settings, Listener listener)
@@ -29,6 +37,7 @@
 void Ownership::start() {
   read_meta();
   open_lease();
+  env_.after(kHomeEvery, [this] { send_home(); });
 }
 
 int Ownership::held_count() const {
@@ -73,6 +82,7 @@
     hold_ = hold;
     valid_until_ = asked + kTtl * (1 - kDrift) - kMargin;
     env_.after(kRenewEvery, [this] { renew(); });
+    announce();
     for (int p = 0; p < parts(); p++) consider(p);
   });
 }
@@ -118,7 +128,12 @@
                   return;
                 }
                 std::vector<bool> present(owners_.size(), false);
+                alive_since_.clear();
                 for (const StateItem& item : items) {
+                  if (const std::string node = node_of(item.key); !node.empty()) {
+                    see_node(node, true);
+                    continue;
+                  }
                   const int part = std::atoi(item.key.c_str() + keys::kParts.size());
                   if (part < 0 || part >= parts()) continue;
                   present[static_cast<std::size_t>(part)] = true;
@@ -144,6 +159,10 @@
           const bool put = event.contains("put");
           const std::string key = event.value(put ? "put" : "delete", "");
           if (key.size() <= keys::kParts.size()) continue;
+          if (const std::string node = node_of(key); !node.empty()) {
+            see_node(node, put);
+            continue;
+          }
           const int part = std::atoi(key.c_str() + keys::kParts.size());
           if (part < 0 || part >= parts()) continue;
           const auto revision = event.value("stamp", std::uint64_t{0});
@@ -189,22 +208,68 @@
   }
 }
 
-// Each free part has one node that takes it at once; the others hold back a little so that claims do not
-// collide, and so that parts spread.
+void Ownership::announce() {
+  const std::uint64_t hold = hold_;
+  Transaction txn;
+  txn.put_held(keys::kParts + "@" + settings_.node, {{"boot", boot_}}, hold);
+  state_.commit(Lane::kLease, txn, [this, hold](const StateReply& reply) {
+    if (!reply.ok() && hold == hold_ && hold != 0) env_.after(1.0, [this] { announce(); });
+  });
+}
+
+void Ownership::see_node(const std::string& node, bool alive) {
+  if (alive) {
+    alive_since_[node] = env_.now();  // a new announcement is a new process
+  } else {
+    alive_since_.erase(node);
+  }
+}
+
+// The nodes in the order in which they take a part: its home first. The same on every node.
+std::vector<std::string> Ownership::order_of(int part) const {
+  std::vector<std::string> names = {settings_.node};
+  for (const Member& member : settings_.members) names.push_back(member.node);
+  std::sort(names.begin(), names.end());
+  std::rotate(names.begin(), names.begin() + part % static_cast<int>(names.size()), names.end());
+  return names;
+}
+
+// A free part is taken at once by its home; the others hold back a little, so that claims do not collide.
 double Ownership::patience(int part) const {
-  std::vector<std::pair<std::uint64_t, std::string>> order;
-  const auto rank = [part](const std::string& node) {
-    return stable_hash(node + "#" + std::to_string(part));
-  };
-  order.emplace_back(rank(settings_.node), settings_.node);
-  for (const Member& member : settings_.members) order.emplace_back(rank(member.node), member.node);
-  std::sort(order.begin(), order.end());
-  double wait = 0;
-  for (const auto& [hash, node] : order) {
-    if (node == settings_.node) break;
-    wait += 0.15;
+  const std::vector<std::string> order = order_of(part);
+  const auto mine_at = std::find(order.begin(), order.end(), settings_.node) - order.begin();
+  return 0.15 * static_cast<double>(mine_at);
+}
+
+// Parts of a node that was away go home once it is steady: the holder deletes the key, home claims it.
+void Ownership::send_home() {
+  env_.after(kHomeEvery, [this] { send_home(); });
+  if (releasing_ || !valid()) return;
+  for (int p = 0; p < parts(); p++) {
+    const auto at = static_cast<std::size_t>(p);
+    if (held_[at] == 0) continue;
+    const std::string home = order_of(p).front();
+    const auto alive = alive_since_.find(home);
+    if (home == settings_.node || alive == alive_since_.end() || env_.now() - alive->second < kSteady)
+      continue;
+    spdlog::info("part {} goes home to {}", p, home);
+    releasing_ = true;
+    Transaction txn;
+    txn.guard(keys::part(p), held_[at]);
+    txn.remove(keys::part(p));
+    state_.commit(Lane::kLease, txn, [this, p, at, baton = held_[at]](const StateReply& reply) {
+      releasing_ = false;
+      // Unless it was refused the key may be gone: the watch tells when, and until then every write is
+      // fenced.
+      if (reply.ok() && held_[at] == baton) {
+        owners_[at] = {"", reply.epoch()};
+        lose(p, "sent home");
+        listener_.owners_changed();
+        consider(p);
+      }
+    });
+    return;
   }
-  return wait;
 }
 
 void Ownership::consider(int part) {
--- a/src/coordination/ownership.hpp
+++ b/src/coordination/ownership.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -55,6 +56,10 @@
   };
   void see(int part, const Sight& sight);
   void consider(int part);
+  void announce();
+  void see_node(const std::string& node, bool alive);
+  void send_home();
+  [[nodiscard]] std::vector<std::string> order_of(int part) const;
   void claim(int part, std::uint64_t stamp);
   void lose(int part, const char* why);
   [[nodiscard]] double patience(int part) const;
@@ -68,11 +73,13 @@
   std::vector<std::string> owner_boots_;
   std::vector<std::uint64_t> held_;  // our baton, 0: not ours
   std::vector<bool> claiming_;
-  std::uint64_t hold_ = 0;  // 0: no lease
+  std::map<std::string, double> alive_since_;  // nodes whose announcement is there, by our clock
+  std::uint64_t hold_ = 0;                     // 0: no lease
   double valid_until_ = 0;
   std::uint64_t watched_ = 0;
   bool reading_ = false;
   bool watching_ = false;
+  bool releasing_ = false;
 };
 
 }  // namespace mothslip
--- a/src/coordination/part.cpp
+++ b/src/coordination/part.cpp
@@ -15,6 +15,8 @@
 constexpr double kLeaseMargin = 1.0;
 constexpr double kDrift = 0.002;
 constexpr double kWatch = 25.0;
+constexpr double kBlockPause = 0.12;
+constexpr std::size_t kMergeBlocks = 3;  // completed blocks worth a transaction of their own
 constexpr double kLoadRetry = 0.2;
 constexpr std::size_t kMaxEarly = 400;
 constexpr std::size_t kRecentlyEnded = 256;
@@ -23,8 +25,7 @@
 constexpr double kUrgencyBonus = 0.5;  // a class of urgency weighs as much as half the pressure of a deadline
 constexpr double kGuaranteeBonus = 0.5;
 constexpr std::size_t kMaxDoneRanges = 700;  // progress text stays well within a value
-enum Slot { kCancelSlot = 0, kLaunchSlot, kDoneSlot, kRestSlot };
-constexpr int kSlotLimit[4] = {2, 3, 2, 1};
+
 }  // namespace
 
 Part::Part(Context context, int id, std::uint64_t baton)
@@ -83,7 +84,7 @@
                          for (int i = first; i < last; i++) job.waiting.erase(i);
                        }
                      }
-                     load_hosts();
+                     load_blocks();
                    }));
 }
 
@@ -105,12 +106,12 @@
                        machine->record.placements.clear();
                        shape_machine(*machine);
                        for (const PlacementRecord& from : record->placements) {
-                         const auto it = jobs_.find(from.ref);
+                         const JobPtr job = find_task(from.ref, from.index);
                          // An ended job, or a task whose completion is durable: it was seen gone before that
                          // was written.
-                         if (it == jobs_.end() || it->second->done.contains(from.index)) continue;
+                         if (job == nullptr || job->done.contains(from.index)) continue;
                          Placement placement;
-                         placement.job = it->second;
+                         placement.job = job;
                          placement.index = from.index;
                          placement.try_no = from.try_no;
                          placement.stage = Placement::Stage::kRecorded;
@@ -138,7 +139,11 @@
   for (auto& [ref, job] : jobs_) {
     if (job->complete()) job->unsaved_since = 0;
   }
-  watch_heads();
+  watch(keys::kHeads, &Part::heads_epoch_, 0, &Part::on_head_event);
+  if (ctx_.parts > 1) {
+    watch(keys::kBlocks, &Part::blocks_epoch_, kBlockPause, &Part::on_block_event);
+    watch(keys::kTeams, &Part::teams_epoch_, kBlockPause, &Part::on_team_event);
+  }
   for (auto& [name, machine] : machines_) raise_baton(*machine);
   auto early = std::move(early_);
   early_.clear();
@@ -146,35 +151,52 @@
   tick();
 }
 
-void Part::watch_heads() {
+// The state service tells what changed under a prefix. `pause_s` lets changes gather before asking again.
+void Part::watch(const std::string& prefix, std::uint64_t Part::*epoch, double pause_s,
+                 void (Part::*on_event)(const Json&)) {
   const double asked = ctx_.env->now();
-  ctx_.state->watch(keys::heads(id_), heads_epoch_, kWatch, alive([this, asked](const StateReply& reply) {
+  ctx_.state->watch(prefix, this->*epoch, kWatch,
+                    alive([this, asked, prefix, epoch, pause_s, on_event](const StateReply& reply) {
+                      double wait = ctx_.env->now() - asked < 1 ? 0.3 : 0.0;
                       if (reply.ok()) {
                         const auto events = reply.body.find("events");
                         if (events != reply.body.end() && events->is_array()) {
-                          for (const Json& event : *events) on_head_event(event);
+                          for (const Json& event : *events) (this->*on_event)(event);
                         }
-                        heads_epoch_ = std::max(heads_epoch_, reply.epoch());
-                        watch_heads();
-                        return;
-                      }
-                      if (reply.outcome == Outcome::kGone) {
+                        this->*epoch = std::max(this->*epoch, reply.epoch());
+                        wait = pause_s;
+                        pump();
+                      } else if (reply.outcome == Outcome::kGone) {
                         ctx_.abdicate("watch too old");
                         return;
                       }
-                      ctx_.env->after(ctx_.env->now() - asked < 1 ? 0.3 : 0.0,
-                                      alive([this] { watch_heads(); }));
+                      ctx_.env->after(wait, alive([this, prefix, epoch, pause_s, on_event] {
+                                        watch(prefix, epoch, pause_s, on_event);
+                                      }));
                     }));
 }
 
-// Other nodes accept jobs by creating the head; only the owner changes or deletes one.
+// Other nodes accept jobs by creating the head; only the owner of its part changes or deletes one.
 void Part::on_head_event(const Json& event) {
-  if (!event.contains("put") || !event.contains("data")) return;
+  const bool put = event.contains("put");
+  const std::string key = event.value(put ? "put" : "delete", "");
+  const std::string own = keys::heads(id_);
+  const std::string ref = key.substr(key.rfind('/') + 1);
+  if (key.compare(0, own.size(), own) != 0) {
+    // A job of another part: what we have borrowed of it is unwanted once it is cancelled.
+    const bool over = !put || (event.contains("data") && event["data"].value("phase", "") == "aborted");
+    if (!over) return;
+    const std::string prefix = keys::blocks(id_, ref);
+    for (auto it = jobs_.lower_bound(prefix); it != jobs_.end() && it->first.rfind(prefix, 0) == 0; ++it) {
+      drop_borrowed(it->second);
+    }
+    return;
+  }
+  if (!put || !event.contains("data")) return;
   auto head = HeadRecord::from_json(event["data"]);
   if (!head || head->aborted) return;
   // The watch can lag behind a job that was accepted, run and ended here.
-  if (std::find(recently_ended_.begin(), recently_ended_.end(), head->spec.ref) != recently_ended_.end())
-    return;
+  if (std::find(recently_ended_.begin(), recently_ended_.end(), ref) != recently_ended_.end()) return;
   admit(std::move(*head), event.value("stamp", std::uint64_t{0}));
 }
 
@@ -184,19 +206,36 @@
   if (active_) pump();
 }
 
-void Part::add_job(HeadRecord head, std::uint64_t stamp) {
+JobPtr Part::make_job(HeadRecord head, std::uint64_t stamp) {
   auto job = std::make_shared<Job>();
   job->head = std::move(head);
   job->head_stamp = stamp;
+  job->home = id_;
   const JobSpec& spec = job->spec();
   job->team = std::max(0, ctx_.settings->team_index(spec.owner));
   job->bundle = bundles_.intern(spec.bundle);
   job->demand = {spec.cores, spec.memory_gb, spec.accelerators};
+  return job;
+}
+
+void Part::add_job(HeadRecord head, std::uint64_t stamp) {
+  const JobPtr job = make_job(std::move(head), stamp);
+  const JobSpec& spec = job->spec();
   job->waiting.insert(0, spec.pieces);
-  job->first_seen = ctx_.env->now();
   spdlog::info("{} known: {} of {}, {} tasks of {} cores", spec.ref, spec.workload, spec.owner, spec.pieces,
                spec.cores);
-  jobs_.emplace(spec.ref, std::move(job));
+  jobs_.emplace(spec.ref, job);
+}
+
+// The job or the borrowed block that a task on one of our machines belongs to.
+JobPtr Part::find_task(const std::string& ref, int index) const {
+  const auto home = jobs_.find(ref);
+  if (home != jobs_.end()) return home->second;
+  const std::string prefix = keys::blocks(id_, ref);
+  for (auto it = jobs_.lower_bound(prefix); it != jobs_.end() && it->first.rfind(prefix, 0) == 0; ++it) {
+    if (it->second->range.contains(index)) return it->second;
+  }
+  return nullptr;
 }
 
 void Part::forget(const std::string& ref) {
@@ -213,11 +252,11 @@
   const Job& job = *it->second;
   JobView out;
   out.done = job.done.size();
-  out.running = job.placed;
+  out.running = job.placed + job.lent_open();
   // Only a durable ending is told; a completed job still being written counts as running.
   if (job.head.aborted) {
     out.phase = "aborted";
-  } else if (job.placed > 0 || job.complete()) {
+  } else if (out.running > 0 || job.complete()) {
     out.phase = "running";
   }
   return out;
@@ -390,9 +429,9 @@
       // Completed under a record that is gone, or taken over before it was noted: the work is done all the
       // same.
       if (piece->phase != PiecePhase::kExited || piece->cause != ExitCause::kDone) continue;
-      const auto it = jobs_.find(piece->ref);
-      if (it == jobs_.end() || it->second->over() || piece->index >= it->second->spec().pieces) continue;
-      mark_done(it->second, piece->index);
+      const JobPtr job = find_task(piece->ref, piece->index);
+      if (job == nullptr || job->over() || piece->index >= job->spec().pieces) continue;
+      mark_done(job, piece->index);
     }
   }
   if (!machine.placements.empty()) machine.busy_at = now;
@@ -515,9 +554,9 @@
   }
   const auto in_hall = job.placed_by_hall.find(machine.hall);
   const int here = in_hall == job.placed_by_hall.end() ? 0 : in_hall->second;
+  if (job.bound() && job.lent_open() > 0) return false;  // another part holds what is placed of it
   if (spec.together && job.placed > here) return false;
-  if (spec.scatter && here + 1 > (spec.pieces + 1) / 2) return false;
-  return teams_.room(job.team, job.demand);
+  return !spec.scatter || here + 1 <= (spec.pieces + 1) / 2;
 }
 
 // Greedy filling of freed slices keeps room for large tasks from gathering (DESIGN names it for gangs; large
@@ -536,6 +575,7 @@
     const int urgency = static_cast<int>(job->spec().urgency);
     if (needs_type(*job, machine.type)) {
       if (!fits(job->demand, machine.capacity) || !allowed_on(*job, machine)) continue;
+      if (!teams_.room(job->team, job->demand)) continue;
       large = true;
       large_urgency = std::max(large_urgency, urgency);
     } else if (flexible(*job)) {
@@ -576,6 +616,10 @@
     const JobSpec& spec = job->spec();
     if (!fits(job->demand, machine.room)) continue;
     if (!allowed_on(*job, machine)) continue;
+    if (!teams_.room(job->team, job->demand)) {
+      note_short(*job);
+      continue;
+    }
     // Others have room for what can go anywhere; what cannot is still taken.
     if (machine.winding && flexible(*job) && !needs_type(*job, machine.type)) continue;
     if (job->done.range_count() > kMaxDoneRanges) continue;
@@ -603,7 +647,8 @@
     for (std::size_t i = 0; i < requests.size();) {
       const Job& job = *jobs[i];
       const JobSpec& spec = job.spec();
-      const bool out = job.waiting.empty() || !fits(job.demand, machine.room) || !allowed_on(job, machine);
+      const bool out = job.waiting.empty() || !fits(job.demand, machine.room) || !allowed_on(job, machine) ||
+                       !teams_.room(job.team, job.demand);
       if (out) {
         requests.erase(requests.begin() + static_cast<std::ptrdiff_t>(i));
         jobs.erase(jobs.begin() + static_cast<std::ptrdiff_t>(i));
@@ -626,6 +671,7 @@
     // Unique and rising: the baton is new for every owner, the counter within it.
     placement.try_no = (baton_ << 20U) + ++next_try_;
     job->waiting.erase(placement.index);
+    job->idle_since = now;
     job->placed++;
     job->placed_by_hall[machine.hall]++;
     teams_.add(job->team, job->demand);
@@ -667,12 +713,12 @@
   }
   for (const PieceReport& stray : machine.strays) {
     const std::string piece = piece_name(stray.ref, stray.index);
-    const auto it = jobs_.find(stray.ref);
+    const JobPtr job = find_task(stray.ref, stray.index);
     if (stray.phase == PiecePhase::kExited) {
       const bool held = std::any_of(machine.placements.begin(), machine.placements.end(),
                                     [&stray](const Placement& p) { return p.try_no == stray.try_no; });
-      const bool lost_if_reaped = stray.cause == ExitCause::kDone && it != jobs_.end() &&
-                                  !it->second->head.aborted && !it->second->durable(stray.index);
+      const bool lost_if_reaped = stray.cause == ExitCause::kDone && job != nullptr && !job->head.aborted &&
+                                  !job->durable(stray.index);
       if (!held && !lost_if_reaped) {
         orders.push_back({Order::Verb::kReap, piece, stray.try_no, 0});
       }
@@ -772,32 +818,35 @@
     }
   }
   pump();
+  if (ctx_.parts > 1) {
+    borrow();
+    want_allowance();
+  }
   ctx_.env->after(kTick, alive([this] { tick(); }));
 }
 
-void Part::set_winding(const std::string& host, bool winding) {
-  const auto it = machines_.find(host);
-  if (it != machines_.end()) it->second->winding = winding;
-}
-
-void Part::set_draining(const std::string& host, bool draining) {
-  const auto it = machines_.find(host);
-  if (it != machines_.end()) it->second->draining = draining;
+void Part::apply(const FleetOrders& orders) {
+  for (auto& [name, machine] : machines_) {
+    machine->draining =
+        std::find(orders.draining.begin(), orders.draining.end(), name) != orders.draining.end();
+    machine->winding = std::find(orders.winding.begin(), orders.winding.end(), name) != orders.winding.end();
+  }
+  for (const std::string& name : orders.gone) {
+    const auto it = machines_.find(name);
+    if (it != machines_.end()) machine_gone(*it->second);
+  }
+  pump();
 }
 
-void Part::machine_gone(const std::string& host) {
-  const auto it = machines_.find(host);
-  if (it == machines_.end()) return;
-  Machine& machine = *it->second;
-  machine.draining = true;
+// (d) the cloud confirmed that the machine and everything on it are gone.
+void Part::machine_gone(Machine& machine) {
+  machine.gone = true;
   for (Placement& placement : machine.placements) {
     if (placement.stage == Placement::Stage::kFreeing) continue;
     free_placement(machine, placement, 0);
     counters_.freed_by_return++;
   }
-  machine.dirty = true;
-  machine.type = -1;  // nothing is put there any more; the record goes with the next commit
-  pump();
+  machine.dirty = true;  // the record goes with the next commit
 }
 
 // ---------------------------------------------------------------- commits
@@ -808,43 +857,55 @@
   return txn;
 }
 
-void Part::send_commit(Lane lane, int slot, Transaction txn, std::function<void(std::uint64_t)> done) {
+void Part::send_commit(Lane lane, int slot, Transaction txn, std::function<void(std::uint64_t)> done,
+                       Conflict conflict) {
   inflight_[slot]++;
   const int writes = static_cast<int>(txn.then.size());
-  try_commit(lane, slot, std::make_shared<std::string>(txn.body()), writes, std::move(done));
+  try_commit(lane, slot, std::make_shared<std::string>(txn.body()), writes, std::move(done),
+             std::move(conflict));
 }
 
 // One transaction is repeated until its fate is certain. When an attempt went unanswered, a repeat can find
 // its own first copy applied (409 on our own records): then nobody knows for sure, and loading anew under a
 // fresh baton is the safe way out.
 void Part::try_commit(Lane lane, int slot, std::shared_ptr<std::string> body, int writes,
-                      std::function<void(std::uint64_t)> done) {
-  ctx_.state->commit_body(
-      lane, *body, writes, alive([this, lane, slot, body, writes, done](const StateReply& reply) {
-        switch (reply.outcome) {
-          case Outcome::kOk:
-            stuck_since_ = 0;
-            inflight_[slot]--;
-            done(reply.epoch());
-            pump();
-            return;
-          case Outcome::kRefused:
-          case Outcome::kUnknown: {
-            if (stuck_since_ == 0) stuck_since_ = ctx_.env->now();
-            ctx_.env->after(ctx_.env->uniform(0.15, 0.4), alive([this, lane, slot, body, writes, done] {
-                              try_commit(lane, slot, body, writes, done);
-                            }));
-            return;
-          }
-          default: {
-            const std::string failed = reply.body.is_object() && reply.body.contains("failed")
-                                           ? dump_json(reply.body["failed"])
-                                           : dump_json(reply.body);
-            ctx_.abdicate("a commit was turned down: " + failed);
-            return;
-          }
-        }
-      }));
+                      std::function<void(std::uint64_t)> done, Conflict conflict) {
+  ctx_.state->commit_body(lane, *body, writes,
+                          alive([this, lane, slot, body, writes, done, conflict](const StateReply& reply) {
+                            switch (reply.outcome) {
+                              case Outcome::kOk:
+                                stuck_since_ = 0;
+                                inflight_[slot]--;
+                                done(reply.epoch());
+                                pump();
+                                return;
+                              case Outcome::kRefused:
+                              case Outcome::kUnknown: {
+                                if (stuck_since_ == 0) stuck_since_ = ctx_.env->now();
+                                ctx_.env->after(ctx_.env->uniform(0.15, 0.4),
+                                                alive([this, lane, slot, body, writes, done, conflict] {
+                                                  try_commit(lane, slot, body, writes, done, conflict);
+                                                }));
+                                return;
+                              }
+                              default: {
+                                std::vector<std::string> failed;
+                                if (reply.outcome == Outcome::kConflict && reply.body.is_object() &&
+                                    reply.body.contains("failed")) {
+                                  for (const Json& key : reply.body["failed"])
+                                    failed.push_back(key.get<std::string>());
+                                }
+                                if (!failed.empty() && conflict && conflict(failed)) {
+                                  stuck_since_ = 0;
+                                  inflight_[slot]--;
+                                  pump();
+                                  return;
+                                }
+                                ctx_.abdicate("a commit was turned down: " + dump_json(reply.body));
+                                return;
+                              }
+                            }
+                          }));
 }
 
 void Part::pump() {
@@ -856,6 +917,8 @@
   }
   while (inflight_[kDoneSlot] < kSlotLimit[kDoneSlot] && commit_dones()) {
   }
+  while (inflight_[kDoneSlot] < kSlotLimit[kDoneSlot] && commit_blocks()) {
+  }
   while (inflight_[kRestSlot] < kSlotLimit[kRestSlot] && commit_rest()) {
   }
   pumping_ = false;
@@ -863,7 +926,9 @@
 
 bool Part::commit_cancels() {
   for (auto& [ref, job] : jobs_) {
-    if (job->cancel_waiters.empty() || job->finishing || job->cancelling || job->head.aborted) continue;
+    if (job->borrowed() || job->cancel_waiters.empty() || job->finishing || job->cancelling ||
+        job->head.aborted)
+      continue;
     if (job->complete()) continue;  // commit_dones ends it
     job->cancelling = true;
     HeadRecord head = job->head;
@@ -908,7 +973,7 @@
     Machine& machine = *owned;
     if (!machine.dirty || machine.inflight) continue;
     if (txn.then.size() >= most) break;
-    Part_ item{&machine, {}, {}, machine.type < 0 && machine.draining};
+    Part_ item{&machine, {}, {}, machine.gone};
     HostRecord record = machine.record;
     record.placements.clear();
     for (Placement& placement : machine.placements) {
@@ -918,7 +983,7 @@
       }
       if (placement.stage == Placement::Stage::kNew) {
         item.added.push_back(placement.try_no);
-        heads[placement.job->spec().ref] = placement.job->head_stamp;
+        heads[keys::head(placement.job->home, placement.job->spec().ref)] = placement.job->head_stamp;
       }
       record.placements.push_back({placement.job->spec().ref, placement.index, placement.try_no});
     }
@@ -937,80 +1002,124 @@
     batch.push_back(std::move(item));
   }
   if (batch.empty()) return false;
-  for (const auto& [ref, stamp] : heads) txn.guard(keys::head(id_, ref), stamp);
+  for (const auto& [key, stamp] : heads) txn.guard(key, stamp);
   std::vector<std::string> names;
   names.reserve(batch.size());
   for (const Part_& item : batch) names.push_back(item.machine->name);
-  send_commit(Lane::kLaunch, kLaunchSlot, std::move(txn), [this, batch, names](std::uint64_t epoch) {
-    for (std::size_t b = 0; b < batch.size(); b++) {
-      const Part_& item = batch[b];
-      Machine& machine = *item.machine;
-      machine.inflight = false;
-      machine.stamp = item.erase ? 0 : epoch;
-      for (Placement& placement : machine.placements) {
-        if (placement.stage == Placement::Stage::kNew &&
-            std::find(item.added.begin(), item.added.end(), placement.try_no) != item.added.end()) {
-          placement.stage = Placement::Stage::kRecorded;
+  send_commit(
+      Lane::kLaunch, kLaunchSlot, std::move(txn),
+      [this, batch, names](std::uint64_t epoch) {
+        for (std::size_t b = 0; b < batch.size(); b++) {
+          const Part_& item = batch[b];
+          Machine& machine = *item.machine;
+          machine.inflight = false;
+          machine.stamp = item.erase ? 0 : epoch;
+          for (Placement& placement : machine.placements) {
+            if (placement.stage == Placement::Stage::kNew &&
+                std::find(item.added.begin(), item.added.end(), placement.try_no) != item.added.end()) {
+              placement.stage = Placement::Stage::kRecorded;
+            }
+          }
+          for (const std::uint64_t try_no : item.removed) {
+            for (std::size_t i = 0; i < machine.placements.size(); i++) {
+              if (machine.placements[i].try_no == try_no) {
+                drop_placement(machine, i);
+                break;
+              }
+            }
+          }
+          answer(machine);
+          if (item.erase && machine.placements.empty()) {
+            spdlog::info("{} is gone", machine.name);
+            machines_.erase(names[b]);
+          }
         }
-      }
-      for (const std::uint64_t try_no : item.removed) {
-        for (std::size_t i = 0; i < machine.placements.size(); i++) {
-          if (machine.placements[i].try_no == try_no) {
-            drop_placement(machine, i);
-            break;
+      },
+      [this, batch](const std::vector<std::string>& failed) {
+        // Only heads of jobs that we borrowed from: they were cancelled, and nothing of this was written.
+        std::set<JobPtr> over;
+        for (const std::string& key : failed) {
+          bool borrowed = false;
+          for (auto& [name, job] : jobs_) {
+            if (!job->borrowed() || keys::head(job->home, job->spec().ref) != key) continue;
+            borrowed = true;
+            over.insert(job);
           }
+          if (!borrowed) return false;
         }
-      }
-      answer(machine);
-      if (item.erase && machine.placements.empty()) {
-        spdlog::info("{} is gone", machine.name);
-        machines_.erase(names[b]);
-      }
-    }
-  });
+        for (const JobPtr& job : over) drop_borrowed(job);
+        for (const Part_& item : batch) {
+          Machine& machine = *item.machine;
+          machine.inflight = false;
+          machine.dirty = true;
+          for (Placement& placement : machine.placements) {
+            if (placement.stage == Placement::Stage::kNew && over.count(placement.job) > 0) {
+              free_placement(machine, placement, 0);
+            }
+          }
+        }
+        return true;
+      });
   return true;
 }
 
-// Completions: the last one of a job ends it, the others are written as ranges, many at a time.
+// Completions: the last one of a job ends it, the others are written as ranges, many at a time. Blocks that
+// others have completed are taken into the job's own record and deleted.
 bool Part::commit_dones() {
   const double now = ctx_.env->now();
   Transaction txn = guarded();
   std::vector<JobPtr> finished;
   std::vector<std::pair<JobPtr, RangeSet>> saved;
+  std::vector<std::pair<JobPtr, std::string>> merged;
   const auto most = static_cast<std::size_t>(ctx_.state->writes_per_txn());
   for (auto& [ref, job] : jobs_) {
-    if (job->finishing || job->cancelling || job->head.aborted || job->progress_inflight) continue;
-    if (!job->complete() || txn.then.size() + 3 > most) continue;
+    if (job->borrowed() || job->finishing || job->cancelling || job->head.aborted || job->progress_inflight)
+      continue;
+    if (!job->complete() || !job->lent_all_complete()) continue;
+    const std::size_t needs = 3 + job->lent.size();
+    if (needs > most || txn.then.size() + needs > most) continue;
     job->finishing = true;
     txn.guard(keys::head(id_, ref), job->head_stamp);
     txn.guard(keys::progress(id_, ref), job->progress_stamp);
     txn.put(keys::ending(id_, ref), ending_json("done", job->spec().pieces));
     txn.remove(keys::head(id_, ref));
     if (job->progress_stamp != 0) txn.remove(keys::progress(id_, ref));
+    for (const auto& [key, lent] : job->lent) {
+      txn.guard(key, lent.stamp);
+      txn.remove(key);
+    }
     finished.push_back(job);
   }
   for (auto& [ref, job] : jobs_) {
-    if (job->finishing || job->progress_inflight || job->unsaved.empty() || job->complete() ||
-        job->head.aborted) {
+    if (job->borrowed() || job->finishing || job->cancelling || job->progress_inflight || job->head.aborted)
       continue;
-    }
-    if (txn.then.size() + 1 > most) break;
-    if (now - job->unsaved_since < (saved.empty() ? kProgressDelay : kProgressDelay / 2)) continue;
+    std::size_t complete = 0;
+    for (const auto& [key, lent] : job->lent) complete += lent.complete() ? 1 : 0;
+    // A completed job comes here only when it has too many blocks to end in one go.
+    const bool too_many = job->complete() && 3 + job->lent.size() > most;
+    const bool due = !job->unsaved.empty() && !job->complete() &&
+                     now - job->unsaved_since >= (saved.empty() ? kProgressDelay : kProgressDelay / 2);
+    if (!due && !too_many && (job->complete() || complete < kMergeBlocks)) continue;
+    if (txn.then.size() + 1 + (complete > 0 ? 1 : 0) > most) break;
     job->progress_inflight = true;
     txn.guard(keys::progress(id_, ref), job->progress_stamp);
     txn.guard(keys::head(id_, ref), job->head_stamp);
     txn.put(keys::progress(id_, ref), {{"done", job->done.to_text()}});
     saved.emplace_back(job, job->unsaved);
+    for (const auto& [key, lent] : job->lent) {
+      if (!lent.complete() || txn.then.size() + 1 > most) continue;
+      txn.guard(key, lent.stamp);
+      txn.remove(key);
+      merged.emplace_back(job, key);
+    }
   }
   if (finished.empty() && saved.empty()) return false;
-  send_commit(Lane::kDone, kDoneSlot, std::move(txn), [this, finished, saved](std::uint64_t epoch) {
+  send_commit(Lane::kDone, kDoneSlot, std::move(txn), [this, finished, saved, merged](std::uint64_t epoch) {
+    for (const auto& [job, key] : merged) job->lent.erase(key);
     for (const auto& [job, indices] : saved) {
       job->progress_inflight = false;
       job->progress_stamp = epoch;
-      for (const auto& [first, last] : indices.ranges()) {
-        for (int i = first; i < last; i++) job->unsaved.erase(i);
-      }
-      job->unsaved_since = ctx_.env->now();
+      job->saved(indices, ctx_.env->now());
     }
     for (const JobPtr& job : finished) {
       const std::string ref = job->spec().ref;
@@ -1029,22 +1138,37 @@
 // Cancelled jobs whose last task is known to be gone.
 bool Part::commit_rest() {
   Transaction txn = guarded();
-  std::vector<JobPtr> cleaned;
+  std::vector<std::string> cleaned;
   const auto most = static_cast<std::size_t>(ctx_.state->writes_per_txn());
-  for (auto& [ref, job] : jobs_) {
+  for (auto& [name, job] : jobs_) {
     if (!job->head.aborted || job->cleaning || job->placed > 0 || job->progress_inflight) continue;
-    if (txn.then.size() + 3 > most) break;
+    if (job->borrowed()) {
+      // A block whose record is complete is the home's to delete.
+      if (job->complete() && job->unsaved.empty()) continue;
+      if (txn.then.size() + 1 > most) break;
+      txn.guard(name, job->block_stamp);
+      txn.remove(name);
+    } else {
+      const std::string& ref = name;
+      if (!job->lent_all_complete()) continue;  // their borrowers delete them
+      std::size_t blocks = job->lent.size();
+      if (txn.then.size() + 3 + blocks > most && !txn.then.empty()) break;
+      txn.guard(keys::head(id_, ref), job->head_stamp);
+      txn.guard(keys::progress(id_, ref), job->progress_stamp);
+      txn.put(keys::ending(id_, ref), ending_json("aborted", job->spec().pieces));
+      txn.remove(keys::head(id_, ref));
+      if (job->progress_stamp != 0) txn.remove(keys::progress(id_, ref));
+      for (const auto& [key, lent] : job->lent) {
+        txn.guard(key, lent.stamp);
+        txn.remove(key);
+      }
+    }
     job->cleaning = true;
-    txn.guard(keys::head(id_, ref), job->head_stamp);
-    txn.guard(keys::progress(id_, ref), job->progress_stamp);
-    txn.put(keys::ending(id_, ref), ending_json("aborted", job->spec().pieces));
-    txn.remove(keys::head(id_, ref));
-    if (job->progress_stamp != 0) txn.remove(keys::progress(id_, ref));
-    cleaned.push_back(job);
+    cleaned.push_back(name);
   }
   if (cleaned.empty()) return false;
   send_commit(Lane::kRest, kRestSlot, std::move(txn), [this, cleaned](std::uint64_t) {
-    for (const JobPtr& job : cleaned) forget(job->spec().ref);
+    for (const std::string& name : cleaned) forget(name);
   });
   return true;
 }
--- a/src/coordination/part.hpp
+++ b/src/coordination/part.hpp
@@ -13,12 +13,14 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "bookkeeping/ledger.hpp"
 #include "coordination/state_client.hpp"
+#include "coordination/summary.hpp"
 #include "protocol/names.hpp"
 
 namespace mothslip {
@@ -37,7 +39,10 @@
     const Settings* settings = nullptr;
     const MachineTypes* types = nullptr;
     NameTable* halls = nullptr;
+    int parts = 1;
     std::function<bool()> lease_valid;
+    // Asks the owner of another part; a null answer when it cannot be reached.
+    std::function<void(int part, const std::string& path, const Json& body, std::function<void(Json)>)> ask;
     std::function<void(std::string why)> abdicate;
     std::function<void(std::uint64_t baton)> deposed;  // a worker has seen a higher token
     std::function<void(const std::string& ref, const char* phase, int pieces)> ended;
@@ -59,31 +64,54 @@
   // Answers the responder once the cancellation is durable. The job must be known.
   void cancel(const std::string& ref, Responder responder);
 
-  // For the fleet.
-  [[nodiscard]] const std::map<std::string, std::unique_ptr<Machine>>& machines() const { return machines_; }
-  [[nodiscard]] const std::map<std::string, JobPtr>& jobs() const { return jobs_; }
-  [[nodiscard]] const TeamLedger& teams() const { return teams_; }
-  void set_winding(const std::string& host, bool winding);
-  void set_draining(const std::string& host, bool draining);
-  // The cloud confirmed that the machine and everything on it are gone.
-  void machine_gone(const std::string& host);
+  // What another part's owner asks: to be lent tasks, or a part of a team's allowance.
+  Json on_peer(const std::string& path, const Json& body);
+
+  [[nodiscard]] PartSummary summary() const;
+  void apply(const FleetOrders& orders);
   // No commit has been answered for a while.
   [[nodiscard]] bool state_silent() const;
 
   struct Counters {
-    std::uint64_t reports = 0, launches = 0, completions = 0, fetches = 0, errors = 0, freed_by_lease = 0,
-                  freed_by_tenure = 0, freed_by_return = 0, relaunches = 0;
+    std::uint64_t reports = 0, launches = 0, completions = 0, fetches = 0, lent = 0, borrowed = 0,
+                  given_back = 0, errors = 0, freed_by_lease = 0, freed_by_tenure = 0, freed_by_return = 0,
+                  relaunches = 0;
   };
   [[nodiscard]] const Counters& counters() const { return counters_; }
 
  private:
   void load_heads();
   void load_progress();
+  void load_blocks();
+  void check_borrowed(std::vector<JobPtr> left);
+  void load_teams();
   void load_hosts();
   void go_active();
-  void watch_heads();
+  void watch(const std::string& prefix, std::uint64_t Part::*epoch, double pause_s,
+             void (Part::*on_event)(const Json&));
   void on_head_event(const Json& event);
   void add_job(HeadRecord head, std::uint64_t stamp);
+  JobPtr make_job(HeadRecord head, std::uint64_t stamp);
+  [[nodiscard]] JobPtr find_task(const std::string& ref, int index) const;
+  void machine_gone(Machine& machine);
+
+  // part_lending.cpp
+  void add_block(const std::string& key, BlockRecord record, std::uint64_t stamp);
+  void on_block_event(const Json& event);
+  void take_back(const JobPtr& job, const std::string& key, const RangeSet& range, const RangeSet& done);
+  void borrow();
+  int on_borrow(const Json& body);
+  void drop_borrowed(const JobPtr& job);
+  bool commit_blocks();
+  void note_short(const Job& job);
+  void lend(const JobPtr& job, int to, std::uint64_t to_baton, int count);
+  void note_team(int team, const Json& data, std::uint64_t stamp);
+  void on_team_event(const Json& event);
+  void want_allowance();
+  void on_allow(const Json& body);
+  bool give_allowance(int team, int to, double cores, double gpus, bool keep_own = true);
+  void commit_allowance(int team, const std::shared_ptr<std::string>& body, const Json& split);
+  void reload_team(int team);
   void retry_load(void (Part::*step)());
   void forget(const std::string& ref);
 
@@ -112,13 +140,16 @@
   bool commit_launches();
   bool commit_dones();
   bool commit_rest();
-  void send_commit(Lane lane, int slot, Transaction txn, std::function<void(std::uint64_t)> done);
+  // `conflict` may settle failed guards and return true; otherwise the part is given up.
+  using Conflict = std::function<bool(const std::vector<std::string>& failed)>;
+  void send_commit(Lane lane, int slot, Transaction txn, std::function<void(std::uint64_t)> done,
+                   Conflict conflict = nullptr);
   void try_commit(Lane lane, int slot, std::shared_ptr<std::string> body, int writes,
-                  std::function<void(std::uint64_t)> done);
+                  std::function<void(std::uint64_t)> done, Conflict conflict);
   Transaction guarded() const;
   template <typename F>
   auto alive(F f) {
-    return [token = std::weak_ptr<bool>(alive_), f = std::move(f)](auto&&... args) {
+    return [token = std::weak_ptr<bool>(alive_), f = std::move(f)](auto&&... args) mutable {
       if (!token.expired()) f(std::forward<decltype(args)>(args)...);
     };
   }
@@ -130,6 +161,8 @@
   bool active_ = false;
   std::uint64_t next_try_ = 0;
   std::uint64_t heads_epoch_ = 0;
+  std::uint64_t blocks_epoch_ = 0;
+  std::uint64_t teams_epoch_ = 0;
   std::map<std::string, JobPtr> jobs_;
   std::map<std::string, std::unique_ptr<Machine>> machines_;
   TeamLedger teams_;
@@ -137,7 +170,15 @@
   PreferenceWeights weights_;
   std::vector<std::pair<Report, Responder>> early_;  // reports that came while loading
   std::deque<std::string> recently_ended_;
-  int inflight_[4] = {0, 0, 0, 0};
+  bool borrowing_ = false;  // a part was asked and has not answered yet
+  double next_borrow_ = 0;
+  std::map<int, Resources> short_of_;  // by team: what a waiting task needs and the allowance lacks
+  std::map<int, Json> splits_;         // by team: its record
+  std::set<int> moving_;               // teams of whose allowance we are giving a part away
+  int next_asked_ = 0;
+  enum Slot { kCancelSlot = 0, kLaunchSlot, kDoneSlot, kLendSlot, kRestSlot, kSlots };
+  static constexpr int kSlotLimit[kSlots] = {2, 3, 2, 3, 1};
+  int inflight_[kSlots] = {};
   double stuck_since_ = 0;  // 0: the last commit was answered
   bool pumping_ = false;
   Counters counters_;
--- /dev/null
+++ b/src/coordination/part_lending.cpp
@@ -0,0 +1,658 @@
+// What passes between parts: blocks of waiting tasks, and shares of the teams' limits.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "coordination/part.hpp"
+
+namespace mothslip {
+
+namespace {
+constexpr double kBorrowEvery = 0.4;
+constexpr double kGiveBack = 2.5;       // waiting tasks of a block that found no place this long go home
+constexpr double kProgressDelay = 0.8;  // as for a job at home
+constexpr double kLoadRetry = 0.2;
+constexpr std::size_t kMaxOffers = 40;
+constexpr int kMaxBlocks = 4;  // lent per request
+constexpr double kGrain = 64;  // allowances move in steps of 1/64, so that sums stay exact
+
+double grains(double amount) { return std::floor(amount * kGrain + 1e-9) / kGrain; }
+
+bool take(Resources& room, const Resources& demand) {
+  if (!fits(demand, room)) return false;
+  for (std::size_t r = 0; r < room.size(); r++) room[r] -= demand[r];
+  return true;
+}
+}  // namespace
+
+// ---------------------------------------------------------------- blocks: loading and watching
+
+void Part::load_blocks() {
+  ctx_.state->list(Lane::kLease, keys::kBlocks,
+                   alive([this](Outcome outcome, std::vector<StateItem> items, std::uint64_t epoch) {
+                     if (outcome != Outcome::kOk) return retry_load(&Part::load_blocks);
+                     blocks_epoch_ = epoch;
+                     const std::string own = keys::kBlocks + std::to_string(id_) + "/";
+                     for (StateItem& item : items) {
+                       auto record = BlockRecord::from_json(item.data);
+                       if (!record) {
+                         spdlog::error("record {} cannot be read", item.key);
+                         continue;
+                       }
+                       if (record->home == id_) {
+                         const auto it = jobs_.find(record->head.spec.ref);
+                         if (it == jobs_.end()) continue;
+                         Job& job = *it->second;
+                         job.lent[item.key] = {record->range, record->done, item.stamp};
+                         for (const auto& [first, last] : record->range.ranges()) {
+                           for (int i = first; i < last; i++) job.waiting.erase(i);
+                         }
+                         for (const auto& [first, last] : record->done.ranges()) job.done.insert(first, last);
+                       } else if (item.key.compare(0, own.size(), own) == 0) {
+                         add_block(item.key, std::move(*record), item.stamp);
+                       }
+                     }
+                     std::vector<JobPtr> borrowed;
+                     for (const auto& [name, job] : jobs_) {
+                       if (job->borrowed()) borrowed.push_back(job);
+                     }
+                     check_borrowed(std::move(borrowed));
+                   }));
+}
+
+// A job can have been cancelled while nobody owned this part.
+void Part::check_borrowed(std::vector<JobPtr> left) {
+  if (left.empty()) {
+    load_teams();
+    return;
+  }
+  const JobPtr job = left.back();
+  ctx_.state->get(Lane::kLease, keys::head(job->home, job->spec().ref),
+                  alive([this, job, left = std::move(left)](const StateReply& reply) mutable {
+                    const bool open = reply.ok() && reply.body.contains("data") &&
+                                      reply.body["data"].value("phase", "") != "aborted";
+                    if (open || reply.ok() || reply.outcome == Outcome::kMissing) {
+                      if (!open) drop_borrowed(job);
+                      left.pop_back();
+                      check_borrowed(std::move(left));
+                      return;
+                    }
+                    ctx_.env->after(kLoadRetry, alive([this, left = std::move(left)]() mutable {
+                                      check_borrowed(std::move(left));
+                                    }));
+                  }));
+}
+
+void Part::add_block(const std::string& key, BlockRecord record, std::uint64_t stamp) {
+  const JobPtr job = make_job(std::move(record.head), record.head_stamp);
+  job->home = record.home;
+  job->block = key;
+  job->block_stamp = stamp;
+  job->range = std::move(record.range);
+  job->done = std::move(record.done);
+  job->idle_since = ctx_.env->now();
+  for (const auto& [first, last] : job->range.ranges()) {
+    for (int i = first; i < last; i++) {
+      if (!job->done.contains(i)) job->waiting.insert(i);
+    }
+  }
+  jobs_.emplace(key, job);
+}
+
+// The job was cancelled at home: its tasks here are stopped, and the block goes when the last one is gone.
+void Part::drop_borrowed(const JobPtr& job) {
+  if (job->head.aborted) return;
+  job->head.aborted = true;
+  job->waiting.clear();
+  job->backoff.clear();
+  if (active_) stop_directly(job);
+}
+
+// Events of one watch come in order. Borrowed blocks are taken up only here: an answer that overtook or
+// trailed them could bring back a block that is already completed and deleted.
+void Part::on_block_event(const Json& event) {
+  const bool put = event.contains("put");
+  const std::string key = event.value(put ? "put" : "delete", "");
+  const auto stamp = event.value("stamp", std::uint64_t{0});
+  const std::string own = keys::kBlocks + std::to_string(id_) + "/";
+  if (key.compare(0, own.size(), own) == 0) {
+    const auto it = jobs_.find(key);
+    if (put && it == jobs_.end()) {
+      if (std::find(recently_ended_.begin(), recently_ended_.end(), key) != recently_ended_.end()) return;
+      auto record = BlockRecord::from_json(event["data"]);
+      if (!record || record->complete()) return;
+      counters_.borrowed += static_cast<std::uint64_t>(record->range.size());
+      add_block(key, std::move(*record), stamp);
+    } else if (!put && it != jobs_.end() && stamp > it->second->block_stamp) {
+      // Deleted by its home: every task in it is done.
+      if (it->second->placed == 0) forget(key);
+    }
+    return;
+  }
+  const auto slash = key.rfind('/');
+  const auto tilde = key.rfind('~');
+  if (slash == std::string::npos || tilde == std::string::npos || tilde < slash) return;
+  const auto it = jobs_.find(key.substr(slash + 1, tilde - slash - 1));
+  if (it == jobs_.end()) return;
+  const JobPtr job = it->second;
+  const auto lent = job->lent.find(key);
+  if (lent == job->lent.end() || stamp <= lent->second.stamp) return;
+  lent->second.stamp = stamp;
+  if (put) {
+    const auto record = BlockRecord::from_json(event["data"]);
+    if (record) take_back(job, key, record->range, record->done);
+  } else {
+    take_back(job, key, {}, {});
+    job->lent.erase(key);
+  }
+}
+
+// The borrower noted completions, or gave tasks back by shrinking the range.
+void Part::take_back(const JobPtr& job, const std::string& key, const RangeSet& range, const RangeSet& done) {
+  Lent& lent = job->lent.at(key);
+  for (const auto& [first, last] : done.ranges()) job->done.insert(first, last);
+  for (const auto& [first, last] : lent.range.ranges()) {
+    for (int i = first; i < last; i++) {
+      if (!range.contains(i)) requeue(job, i, 0);
+    }
+  }
+  lent.range = range;
+  lent.done = done;
+}
+
+// ---------------------------------------------------------------- blocks: what the borrower writes
+
+bool Part::commit_blocks() {
+  const double now = ctx_.env->now();
+  Transaction txn = guarded();
+  struct Item {
+    JobPtr job;
+    RangeSet range;
+    RangeSet saved;
+    bool erase;
+  };
+  std::vector<Item> batch;
+  const auto most = static_cast<std::size_t>(ctx_.state->writes_per_txn());
+  for (auto& [key, job] : jobs_) {
+    if (!job->borrowed() || job->head.aborted || job->progress_inflight || job->cleaning) continue;
+    const bool give_back = !job->waiting.empty() && now - job->idle_since > kGiveBack &&
+                           (!job->bound() || (job->placed == 0 && job->backoff.empty()));
+    const bool due = !job->unsaved.empty() && (job->complete() || now - job->unsaved_since >= kProgressDelay);
+    if (!give_back && !due) continue;
+    if (txn.then.size() + 1 > most) break;
+    Item item{job, job->range, job->unsaved, false};
+    if (give_back) {
+      counters_.given_back += static_cast<std::uint64_t>(job->waiting.size());
+      for (const auto& [first, last] : job->waiting.ranges()) {
+        for (int i = first; i < last; i++) item.range.erase(i);
+      }
+      // From here on they are not ours, whatever becomes of the write: it is repeated until it is done.
+      job->waiting.clear();
+      job->range = item.range;
+    }
+    item.erase = item.range.empty();
+    txn.guard(key, job->block_stamp);
+    if (item.erase) {
+      txn.remove(key);
+    } else {
+      BlockRecord record;
+      record.home = job->home;
+      record.head_stamp = job->head_stamp;
+      record.head = job->head;
+      record.range = item.range;
+      record.done = job->done;
+      txn.put(key, record.to_json());
+    }
+    job->progress_inflight = true;
+    batch.push_back(std::move(item));
+  }
+  if (batch.empty()) return false;
+  send_commit(Lane::kDone, kDoneSlot, std::move(txn), [this, batch](std::uint64_t epoch) {
+    for (const Item& item : batch) {
+      item.job->progress_inflight = false;
+      item.job->block_stamp = epoch;
+      item.job->saved(item.saved, ctx_.env->now());
+      if (item.erase) forget(item.job->block);
+    }
+  });
+  return true;
+}
+
+// ---------------------------------------------------------------- blocks: asking and lending
+
+// With room that our own waiting tasks do not fill, we ask the other parts in turn.
+void Part::borrow() {
+  const double now = ctx_.env->now();
+  if (borrowing_ || now < next_borrow_ || state_silent() || !ctx_.lease_valid()) return;
+  std::vector<std::pair<const Machine*, Resources>> rooms;
+  for (const auto& [name, machine] : machines_) {
+    if (machine->type < 0 || !machine->welcome() || now < machine->no_fill_until) continue;
+    if (!machine->heard || now - machine->last_heard > 2 * ctx_.settings->report_s) continue;
+    if (machine->room[0] >= 0.5) rooms.emplace_back(machine.get(), machine->room);
+  }
+  for (const auto& [name, job] : jobs_) {
+    if (job->over()) continue;
+    int left = std::min(job->waiting.size(), teams_.tasks_within(job->team, job->demand));
+    for (auto& [machine, room] : rooms) {
+      while (left > 0 && allowed_on(*job, *machine) && take(room, job->demand)) left--;
+    }
+  }
+  Json offers = Json::array();
+  for (const auto& [machine, room] : rooms) {
+    if (room[0] < 0.5 || offers.size() >= kMaxOffers) continue;
+    offers.push_back({machine->record.flavour, machine->record.hall, machine->record.loaner, room[0], room[1],
+                      room[2], machine->winding});
+  }
+  if (offers.empty()) return;
+  Json spare = Json::array();
+  for (std::size_t t = 0; t < teams_.size(); t++) {
+    spare.push_back({teams_.spare_cores(static_cast<int>(t)), teams_.spare_gpus(static_cast<int>(t))});
+  }
+  next_asked_ = (next_asked_ + 1) % ctx_.parts;
+  if (next_asked_ == id_) next_asked_ = (next_asked_ + 1) % ctx_.parts;
+  borrowing_ = true;
+  ctx_.ask(next_asked_, "/peer/borrow",
+           {{"part", id_}, {"baton", baton_}, {"rooms", std::move(offers)}, {"spare", std::move(spare)}},
+           alive([this](const Json& answer) {
+             borrowing_ = false;
+             const bool lent = answer.is_object() && answer.value("lent", 0) > 0;
+             next_borrow_ = ctx_.env->now() + (lent ? kBorrowEvery : kBorrowEvery / 2);
+           }));
+}
+
+Json Part::on_peer(const std::string& path, const Json& body) {
+  if (!active_ || state_silent() || !ctx_.lease_valid()) return {{"lent", 0}};
+  try {
+    if (path == "/peer/borrow") return {{"lent", on_borrow(body)}};
+    if (path == "/peer/allow") on_allow(body);
+  } catch (const Json::exception&) {
+    return {{"error", "malformed"}};
+  }
+  return Json::object();
+}
+
+// Lends what our own machines have no room for, by the same preference as if the offered room were ours.
+int Part::on_borrow(const Json& body) {
+  const int to = body.at("part").get<int>();
+  const auto to_baton = body.at("baton").get<std::uint64_t>();
+  if (to < 0 || to >= ctx_.parts || to == id_ || inflight_[kLendSlot] >= kSlotLimit[kLendSlot]) return 0;
+  const double now = ctx_.env->now();
+  std::vector<std::pair<const Machine*, Resources>> rooms;
+  for (const auto& [name, machine] : machines_) {
+    if (machine->type < 0 || !machine->welcome() || now < machine->no_fill_until) continue;
+    if (!machine->heard || now - machine->last_heard > 2 * ctx_.settings->report_s) continue;
+    rooms.emplace_back(machine.get(), machine->room);
+  }
+  std::vector<Request> requests;
+  std::vector<JobPtr> jobs;
+  std::vector<int> surplus;
+  std::vector<int> counts;
+  const double wall = ctx_.env->wall();
+  for (const auto& [name, job] : jobs_) {
+    const JobSpec& spec = job->spec();
+    if (job->borrowed() || job->over() || job->cancelling || job->waiting.empty() ||
+        !job->cancel_waiters.empty()) {
+      continue;
+    }
+    // Where the tasks of a job are bound to each other one part must see all that are placed: they go whole.
+    if (job->bound() && (job->placed > 0 || job->lent_open() > 0 || !job->backoff.empty())) continue;
+    int left = job->waiting.size();
+    int here = std::min(left, teams_.tasks_within(job->team, job->demand));
+    for (auto& [machine, room] : rooms) {
+      while (here > 0 && allowed_on(*job, *machine) && take(room, job->demand)) {
+        here--;
+        left--;
+      }
+    }
+    if (left <= 0) continue;
+    Request request;
+    request.demand = job->demand;
+    request.assigned_share = static_cast<double>(job->placed + job->done.size()) / spec.pieces;
+    request.nothing_placed = job->placed == 0 && job->done.empty() && job->lent.empty();
+    request.bonus = 0.5 * static_cast<int>(spec.urgency);
+    if (spec.due_s) {
+      request.pressure =
+          deadline_pressure(job->head.submitted + *spec.due_s - wall, 1.3 * std::max(1.0, spec.guess_s));
+    }
+    requests.push_back(request);
+    jobs.push_back(job);
+    surplus.push_back(left);
+    counts.push_back(0);
+  }
+  if (requests.empty()) return 0;
+  std::vector<std::pair<double, double>> spare;
+  for (const Json& item : body.at("spare"))
+    spare.emplace_back(item.at(0).get<double>(), item.at(1).get<double>());
+  std::map<int, Resources> lacking;
+  for (const Json& offer : body.at("rooms")) {
+    const auto flavour = offer.at(0).get<std::string>();
+    const auto hall = offer.at(1).get<std::string>();
+    const bool loaner = offer.at(2).get<bool>();
+    const bool winding = offer.at(6).get<bool>();
+    Resources room = {offer.at(3).get<double>(), offer.at(4).get<double>(), offer.at(5).get<double>()};
+    std::vector<Request> listed;
+    std::vector<std::size_t> index;
+    for (std::size_t i = 0; i < jobs.size(); i++) {
+      const JobSpec& spec = jobs[i]->spec();
+      if (loaner && !spec.loaner) continue;
+      // Winding down, it takes only what cannot go anywhere else.
+      if (winding && flexible(*jobs[i])) continue;
+      if (spec.hall && *spec.hall != hall) continue;
+      if (spec.flavours &&
+          std::find(spec.flavours->begin(), spec.flavours->end(), flavour) == spec.flavours->end()) {
+        continue;
+      }
+      listed.push_back(requests[i]);
+      index.push_back(i);
+    }
+    while (!listed.empty()) {
+      for (std::size_t k = 0; k < listed.size();) {
+        const std::size_t i = index[k];
+        const Job& job = *jobs[i];
+        auto& [cores, gpus] = spare.at(static_cast<std::size_t>(job.team));
+        const bool allowance = job.demand[0] <= cores && job.demand[2] <= gpus;
+        if (counts[i] < surplus[i] && !allowance && fits(job.demand, room)) {
+          Resources& more = lacking[job.team];
+          for (std::size_t r = 0; r < 3; r++) more[r] = std::max(more[r], job.demand[r]);
+        }
+        if (counts[i] >= surplus[i] || !allowance || !fits(job.demand, room)) {
+          listed.erase(listed.begin() + static_cast<std::ptrdiff_t>(k));
+          index.erase(index.begin() + static_cast<std::ptrdiff_t>(k));
+        } else {
+          k++;
+        }
+      }
+      const int best = choose(room, listed, weights_);
+      if (best < 0) break;
+      const std::size_t i = index[static_cast<std::size_t>(best)];
+      take(room, jobs[i]->demand);
+      counts[i]++;
+      spare.at(static_cast<std::size_t>(jobs[i]->team)).first -= jobs[i]->demand[0];
+      spare.at(static_cast<std::size_t>(jobs[i]->team)).second -= jobs[i]->demand[2];
+    }
+  }
+  int lent = 0;
+  int blocks = 0;
+  for (std::size_t i = 0; i < jobs.size() && blocks < kMaxBlocks; i++) {
+    if (counts[i] == 0) continue;
+    if (jobs[i]->bound()) counts[i] = jobs[i]->waiting.size();
+    lend(jobs[i], to, to_baton, counts[i]);
+    lent += counts[i];
+    blocks++;
+  }
+  // Room without allowance is of no use: what we do not need of ours moves along.
+  // The tasks in question have no place here, so nothing is held back for them; what we lack too, others may
+  // have.
+  for (const auto& [team, more] : lacking) {
+    if (more[0] > teams_.spare_cores(team) || more[2] > teams_.spare_gpus(team)) short_of_[team] = more;
+    give_allowance(team, to, more[0], more[2], false);
+  }
+  return lent;
+}
+
+// One conditional write a block: it holds while we own the home, the borrower owns its part, and the job is
+// open.
+void Part::lend(const JobPtr& job, int to, std::uint64_t to_baton, int count) {
+  Lent lent;
+  for (int i = 0; i < count && !job->waiting.empty(); i++) {
+    const int index = *job->waiting.first();
+    job->waiting.erase(index);
+    lent.range.insert(index);
+  }
+  const std::string& ref = job->spec().ref;
+  const std::string key = keys::blocks(to, ref) + std::to_string(baton_) + "." + std::to_string(++next_try_);
+  job->lent[key] = lent;
+  counters_.lent += static_cast<std::uint64_t>(lent.range.size());
+  BlockRecord record;
+  record.home = id_;
+  record.head_stamp = job->head_stamp;
+  record.head = job->head;
+  record.range = lent.range;
+  Transaction txn = guarded();
+  txn.guard(keys::part(to), to_baton);
+  txn.guard(keys::head(id_, ref), job->head_stamp);
+  txn.guard(key, 0);
+  txn.put(key, record.to_json());
+  spdlog::debug("{}: {} tasks lent to part {}", ref, lent.range.size(), to);
+  send_commit(
+      Lane::kLaunch, kLendSlot, std::move(txn),
+      [job, key](std::uint64_t epoch) {
+        const auto it = job->lent.find(key);
+        if (it != job->lent.end()) it->second.stamp = std::max(it->second.stamp, epoch);
+      },
+      [this, job, key](const std::vector<std::string>& failed) {
+        // The borrower was deposed or the job cancelled, and the block does not exist: the tasks are still
+        // ours.
+        if (std::find(failed.begin(), failed.end(), key) != failed.end()) return false;
+        if (std::find(failed.begin(), failed.end(), keys::part(id_)) != failed.end()) return false;
+        take_back(job, key, {}, {});
+        job->lent.erase(key);
+        return true;
+      });
+}
+
+// ---------------------------------------------------------------- allowances
+
+void Part::load_teams() {
+  ctx_.state->list(Lane::kLease, keys::kTeams,
+                   alive([this](Outcome outcome, std::vector<StateItem> items, std::uint64_t epoch) {
+                     if (outcome != Outcome::kOk) return retry_load(&Part::load_teams);
+                     teams_epoch_ = epoch;
+                     for (const StateItem& item : items) {
+                       const int team = std::atoi(item.key.c_str() + keys::kTeams.size());
+                       if (team >= 0 && team < static_cast<int>(teams_.size()))
+                         note_team(team, item.data, item.stamp);
+                     }
+                     // At the very first start the limits are split evenly.
+                     Transaction txn = guarded();
+                     const auto most = static_cast<std::size_t>(ctx_.state->writes_per_txn());
+                     for (int t = 0; t < static_cast<int>(teams_.size()) && txn.then.size() < most; t++) {
+                       if (splits_.count(t) > 0) continue;
+                       const Team& team = ctx_.settings->teams[static_cast<std::size_t>(t)];
+                       Json cores = Json::array();
+                       Json gpus = Json::array();
+                       for (int p = 0; p < ctx_.parts; p++) {
+                         const double c = grains(team.cpus_max / ctx_.parts);
+                         const double g = grains(team.gpus_max / ctx_.parts);
+                         cores.push_back(p > 0 ? c : team.cpus_max - c * (ctx_.parts - 1));
+                         gpus.push_back(p > 0 ? g : team.gpus_max - g * (ctx_.parts - 1));
+                       }
+                       txn.guard(keys::team(t), 0);
+                       txn.put(keys::team(t), {{"c", cores}, {"g", gpus}});
+                     }
+                     if (txn.then.empty()) return load_hosts();
+                     ctx_.state->commit(Lane::kLease, txn, alive([this](const StateReply& reply) {
+                                          // Whoever wrote it, it is read again; if it is ours no more, that
+                                          // shows too.
+                                          if (reply.ok() || reply.outcome == Outcome::kConflict) {
+                                            load_teams();
+                                          } else {
+                                            retry_load(&Part::load_teams);
+                                          }
+                                        }));
+                   }));
+}
+
+void Part::note_team(int team, const Json& data, std::uint64_t stamp) {
+  try {
+    const auto at = static_cast<std::size_t>(id_);
+    teams_.allow(team, data.at("c").at(at).get<double>(), data.at("g").at(at).get<double>(), stamp);
+    splits_[team] = data;
+  } catch (const Json::exception&) {
+    spdlog::error("record {} cannot be read", keys::team(team));
+  }
+}
+
+void Part::on_team_event(const Json& event) {
+  if (!event.contains("put") || !event.contains("data")) return;
+  const int team = std::atoi(event["put"].get_ref<const std::string&>().c_str() + keys::kTeams.size());
+  const auto stamp = event.value("stamp", std::uint64_t{0});
+  if (team < 0 || team >= static_cast<int>(teams_.size()) || stamp <= teams_.stamp(team)) return;
+  if (moving_.count(team) > 0) return;  // our own move finds out
+  note_team(team, event["data"], stamp);
+}
+
+void Part::note_short(const Job& job) {
+  Resources& more = short_of_[job.team];
+  for (std::size_t r = 0; r < 3; r++) more[r] = std::max(more[r], job.demand[r] * job.waiting.size());
+}
+
+void Part::want_allowance() {
+  if (short_of_.empty() || state_silent()) return;
+  next_asked_ = (next_asked_ + 1) % ctx_.parts;
+  if (next_asked_ == id_) next_asked_ = (next_asked_ + 1) % ctx_.parts;
+  Json wants = Json::array();
+  for (const auto& [team, more] : short_of_) {
+    wants.push_back({team, more[0] - teams_.spare_cores(team), more[2] - teams_.spare_gpus(team)});
+  }
+  short_of_.clear();
+  ctx_.ask(next_asked_, "/peer/allow", {{"part", id_}, {"wants", std::move(wants)}}, [](const Json&) {});
+}
+
+void Part::on_allow(const Json& body) {
+  const int to = body.at("part").get<int>();
+  if (to < 0 || to >= ctx_.parts || to == id_) return;
+  for (const Json& want : body.at("wants")) {
+    give_allowance(want.at(0).get<int>(), to, want.at(1).get<double>(), want.at(2).get<double>());
+  }
+}
+
+// Gives away what our own waiting tasks cannot use. A remainder too small for any of them goes only to a part
+// of a lower number: two parts that each lack a little would otherwise hand it to and fro.
+bool Part::give_allowance(int team, int to, double cores, double gpus, bool keep_own) {
+  if (team < 0 || team >= static_cast<int>(teams_.size()) || moving_.count(team) > 0 ||
+      splits_.count(team) == 0) {
+    return false;
+  }
+  double spare_cores = teams_.spare_cores(team);
+  double spare_gpus = teams_.spare_gpus(team);
+  bool needed = false;
+  for (const auto& [name, job] : jobs_) {
+    if (!keep_own || job->over() || job->team != team || job->waiting.empty()) continue;
+    needed = true;
+    int tasks = job->waiting.size();
+    if (job->demand[0] > 0) tasks = std::min(tasks, static_cast<int>(spare_cores / job->demand[0]));
+    if (job->demand[2] > 0) tasks = std::min(tasks, static_cast<int>(spare_gpus / job->demand[2]));
+    spare_cores -= tasks * job->demand[0];
+    spare_gpus -= tasks * job->demand[2];
+  }
+  if (needed && to > id_) return false;
+  const double give_cores = grains(std::clamp(cores, 0.0, std::max(0.0, spare_cores)));
+  const double give_gpus = grains(std::clamp(gpus, 0.0, std::max(0.0, spare_gpus)));
+  if (give_cores <= 0 && give_gpus <= 0) return false;
+  Json split = splits_.at(team);
+  const auto from_at = static_cast<std::size_t>(id_);
+  const auto to_at = static_cast<std::size_t>(to);
+  split["c"][from_at] = split["c"][from_at].get<double>() - give_cores;
+  split["c"][to_at] = split["c"][to_at].get<double>() + give_cores;
+  split["g"][from_at] = split["g"][from_at].get<double>() - give_gpus;
+  split["g"][to_at] = split["g"][to_at].get<double>() + give_gpus;
+  Transaction txn = guarded();
+  txn.guard(keys::team(team), teams_.stamp(team));
+  txn.put(keys::team(team), split);
+  // Given up before it is written: whenever the write takes effect, we do not use it any more.
+  teams_.allow(team, split["c"][from_at].get<double>(), split["g"][from_at].get<double>(),
+               teams_.stamp(team));
+  moving_.insert(team);
+  commit_allowance(team, std::make_shared<std::string>(txn.body()), split);
+  return true;
+}
+
+void Part::commit_allowance(int team, const std::shared_ptr<std::string>& body, const Json& split) {
+  ctx_.state->commit_body(
+      Lane::kRest, *body, 1, alive([this, team, body, split](const StateReply& reply) {
+        if (reply.ok()) {
+          moving_.erase(team);
+          note_team(team, split, reply.epoch());
+        } else if (reply.outcome == Outcome::kConflict) {
+          // Another move came first, or an unanswered copy of this one: the key tells.
+          reload_team(team);
+        } else {
+          ctx_.env->after(0.3, alive([this, team, body, split] { commit_allowance(team, body, split); }));
+        }
+      }));
+}
+
+void Part::reload_team(int team) {
+  ctx_.state->get(Lane::kRest, keys::team(team), alive([this, team](const StateReply& reply) {
+                    if (reply.ok() && reply.body.contains("data")) {
+                      moving_.erase(team);
+                      note_team(team, reply.body["data"], reply.body.value("stamp", std::uint64_t{0}));
+                    } else {
+                      ctx_.env->after(0.3, alive([this, team] { reload_team(team); }));
+                    }
+                  }));
+}
+
+// ---------------------------------------------------------------- for the fleet
+
+namespace {
+// How long a placed task may still hold its room. Estimates are often too low: one that is overdue is taken
+// to need a part of what it has had.
+double remaining(const Placement& placement, double pull_gb_per_s, double now) {
+  const JobSpec& spec = placement.job->spec();
+  if (placement.running_since == 0) return spec.guess_s + 0.5 * spec.pull_gb / std::max(0.01, pull_gb_per_s);
+  const double ran = now - placement.running_since;
+  return std::max(spec.guess_s - ran, 0.25 * std::max(ran, 4.0));
+}
+}  // namespace
+
+PartSummary Part::summary() const {
+  constexpr double kBucket = 5;  // seconds: ends of tasks that are close count as one
+  const double now = ctx_.env->now();
+  PartSummary out;
+  out.part = id_;
+  out.baton = baton_;
+  for (const auto& [name, machine] : machines_) {
+    MachineSummary item;
+    item.name = name;
+    item.flavour = machine->record.flavour;
+    item.hall = machine->record.hall;
+    item.address = machine->record.address;
+    item.spot = machine->record.loaner;
+    item.welcome =
+        machine->type >= 0 && machine->welcome() && now - machine->last_heard < ctx_.settings->lease_s / 2;
+    item.sick = machine->sick;
+    item.draining = machine->draining;
+    item.empty = machine->placements.empty() && !machine->inflight && !machine->dirty;
+    item.silent_s = now - machine->last_heard;
+    item.idle_s = machine->placements.empty() ? now - machine->busy_at : 0;
+    std::map<int, Resources> rooms;
+    rooms[0] = machine->room;
+    for (const Placement& placement : machine->placements) {
+      const double rate = machine->type >= 0 ? ctx_.types->at(machine->type).pull_gb_per_s : 1;
+      const int bucket = 1 + static_cast<int>(remaining(placement, rate, now) / kBucket);
+      Resources& room = rooms[bucket];
+      for (std::size_t r = 0; r < 3; r++) room[r] += placement.job->demand[r];
+    }
+    for (const auto& [bucket, room] : rooms) item.rooms.push_back({bucket * kBucket, room});
+    out.machines.push_back(std::move(item));
+  }
+  const double wall = ctx_.env->wall();
+  for (const auto& [name, job] : jobs_) {
+    if (job->over()) continue;
+    const JobSpec& spec = job->spec();
+    out.used_cores += (job->placed + job->waiting.size()) * job->demand[0];
+    out.used_by_team[job->team] += job->placed * job->demand[0];
+    const int count = job->waiting.size() + static_cast<int>(job->backoff.size());
+    if (count == 0) continue;
+    DemandSummary demand;
+    demand.demand = job->demand;
+    demand.count = count;
+    demand.team = job->team;
+    demand.urgency = static_cast<int>(spec.urgency);
+    demand.guess_s = spec.guess_s;
+    demand.pull_gb = spec.pull_gb;
+    if (spec.due_s) demand.time_left_s = job->head.submitted + *spec.due_s - wall;
+    demand.workload = spec.workload;
+    demand.loaner = spec.loaner;
+    if (spec.flavours) demand.flavours = *spec.flavours;
+    if (spec.hall) demand.hall = *spec.hall;
+    demand.submitted = job->head.submitted;
+    out.demands.push_back(std::move(demand));
+  }
+  return out;
+}
+
+}  // namespace mothslip
--- /dev/null
+++ b/src/coordination/summary.cpp
@@ -0,0 +1,112 @@
+#include "coordination/summary.hpp"
+
+namespace mothslip {
+
+namespace {
+Json to_list(const Resources& amounts) { return Json::array({amounts[0], amounts[1], amounts[2]}); }
+Resources from_list(const Json& value) {
+  return {value.at(0).get<double>(), value.at(1).get<double>(), value.at(2).get<double>()};
+}
+}  // namespace
+
+Json PartSummary::to_json() const {
+  Json machine_list = Json::array();
+  for (const MachineSummary& machine : machines) {
+    Json rooms = Json::array();
+    for (const FleetRoom& room : machine.rooms) {
+      rooms.push_back({room.at_s, room.room[0], room.room[1], room.room[2]});
+    }
+    machine_list.push_back({machine.name, machine.flavour, machine.hall, machine.address, machine.spot,
+                            machine.welcome, machine.sick, machine.draining, machine.empty, machine.silent_s,
+                            machine.idle_s, std::move(rooms)});
+  }
+  Json demand_list = Json::array();
+  for (const DemandSummary& demand : demands) {
+    demand_list.push_back({{"d", to_list(demand.demand)},
+                           {"n", demand.count},
+                           {"t", demand.team},
+                           {"u", demand.urgency},
+                           {"g", demand.guess_s},
+                           {"p", demand.pull_gb},
+                           {"l", demand.time_left_s},
+                           {"w", demand.workload},
+                           {"s", demand.loaner},
+                           {"f", demand.flavours},
+                           {"h", demand.hall},
+                           {"a", demand.submitted}});
+  }
+  Json teams = Json::array();
+  for (const auto& [team, cores] : used_by_team) teams.push_back({team, cores});
+  return {{"part", part},
+          {"baton", baton},
+          {"used", used_cores},
+          {"teams", std::move(teams)},
+          {"machines", std::move(machine_list)},
+          {"demands", std::move(demand_list)}};
+}
+
+std::optional<PartSummary> PartSummary::from_json(const Json& value) {
+  PartSummary out;
+  try {
+    out.part = value.at("part").get<int>();
+    out.baton = value.at("baton").get<std::uint64_t>();
+    out.used_cores = value.at("used").get<double>();
+    for (const Json& item : value.at("teams"))
+      out.used_by_team[item.at(0).get<int>()] = item.at(1).get<double>();
+    for (const Json& item : value.at("machines")) {
+      MachineSummary machine;
+      machine.name = item.at(0).get<std::string>();
+      machine.flavour = item.at(1).get<std::string>();
+      machine.hall = item.at(2).get<std::string>();
+      machine.address = item.at(3).get<std::string>();
+      machine.spot = item.at(4).get<bool>();
+      machine.welcome = item.at(5).get<bool>();
+      machine.sick = item.at(6).get<bool>();
+      machine.draining = item.at(7).get<bool>();
+      machine.empty = item.at(8).get<bool>();
+      machine.silent_s = item.at(9).get<double>();
+      machine.idle_s = item.at(10).get<double>();
+      for (const Json& room : item.at(11)) {
+        machine.rooms.push_back(
+            {room.at(0).get<double>(),
+             {room.at(1).get<double>(), room.at(2).get<double>(), room.at(3).get<double>()}});
+      }
+      out.machines.push_back(std::move(machine));
+    }
+    for (const Json& item : value.at("demands")) {
+      DemandSummary demand;
+      demand.demand = from_list(item.at("d"));
+      demand.count = item.at("n").get<int>();
+      demand.team = item.at("t").get<int>();
+      demand.urgency = item.at("u").get<int>();
+      demand.guess_s = item.at("g").get<double>();
+      demand.pull_gb = item.at("p").get<double>();
+      demand.time_left_s = item.at("l").get<double>();
+      demand.workload = item.at("w").get<std::string>();
+      demand.loaner = item.at("s").get<bool>();
+      demand.flavours = item.at("f").get<std::vector<std::string>>();
+      demand.hall = item.at("h").get<std::string>();
+      demand.submitted = item.at("a").get<double>();
+      out.demands.push_back(std::move(demand));
+    }
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+  return out;
+}
+
+Json FleetOrders::to_json() const { return {{"draining", draining}, {"winding", winding}, {"gone", gone}}; }
+
+FleetOrders FleetOrders::from_json(const Json& value) {
+  FleetOrders out;
+  try {
+    out.draining = value.at("draining").get<std::vector<std::string>>();
+    out.winding = value.at("winding").get<std::vector<std::string>>();
+    out.gone = value.at("gone").get<std::vector<std::string>>();
+  } catch (const Json::exception&) {
+    return {};
+  }
+  return out;
+}
+
+}  // namespace mothslip
--- /dev/null
+++ b/src/coordination/summary.hpp
@@ -0,0 +1,64 @@
+// What a part tells the fleet, and what the fleet tells it back. Between nodes both travel as JSON.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "protocol/messages.hpp"
+#include "scheduling/sizing.hpp"
+
+namespace mothslip {
+
+struct MachineSummary {
+  std::string name;
+  std::string flavour;
+  std::string hall;
+  std::string address;
+  bool spot = false;
+  bool welcome = true;  // may anything new be started there
+  bool sick = false;
+  bool draining = false;
+  bool empty = false;            // nothing placed, and that is durable
+  double silent_s = 0;           // since its last report
+  double idle_s = 0;             // since it last had a placement
+  std::vector<FleetRoom> rooms;  // free now, and when placed tasks are expected to end
+};
+
+struct DemandSummary {
+  Resources demand{};
+  int count = 0;
+  int team = 0;
+  int urgency = 0;
+  double guess_s = 0;
+  double pull_gb = 0;
+  double time_left_s = 1e9;
+  std::string workload;
+  bool loaner = false;
+  std::vector<std::string> flavours;  // empty: any
+  std::string hall;                   // empty: any
+  double submitted = 0;
+};
+
+struct PartSummary {
+  int part = 0;
+  std::uint64_t baton = 0;
+  double used_cores = 0;
+  std::map<int, double> used_by_team;
+  std::vector<MachineSummary> machines;
+  std::vector<DemandSummary> demands;
+
+  [[nodiscard]] Json to_json() const;
+  static std::optional<PartSummary> from_json(const Json& value);
+};
+
+struct FleetOrders {
+  std::vector<std::string> draining;
+  std::vector<std::string> winding;
+  std::vector<std::string> gone;  // the cloud confirmed it
+
+  [[nodiscard]] Json to_json() const;
+  static FleetOrders from_json(const Json& value);
+};
+
+}  // namespace mothslip
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -769,6 +769,10 @@
       out << ref << " open: " << job.completed.size() << " of " << job.pieces << " completed; " << dump_json(job.body) << "\n";
     }
   }
+  for (const auto& [key, value] : state.values()) {
+    if (key.rfind("j/", 0) != 0 && key.rfind("b/", 0) != 0 && key.rfind("t/", 0) != 0 && key.rfind("d/", 0) != 0) continue;
+    out << key << " " << (key[0] == 'b' ? value["range"].dump() + " done " + value["done"].dump() : value.dump()) << "\n";
+  }
   out << jobs.size() << " jobs, " << open << " open, " << starts << " starts, " << workers.size()
       << " machines\n";
   for (const std::string& violation : violations) out << violation << '\n';
