Idle machines' reports are answered when work comes; parts know of large tasks elsewhere

Cause: a task waited for the next report of a machine that had been idle all along, and a part filled its large machines with small tasks while another part's large ones waited.

--- a/src/bookkeeping/ledger.hpp
+++ b/src/bookkeeping/ledger.hpp
@@ -128,6 +128,7 @@
   std::optional<double> warned_at;
   bool draining = false;
   bool gone = false;     // the cloud took it back
+  bool keeping = false;  // for large tasks, when last looked
   bool winding = false;  // takes nothing new, for now
   bool sick = false;
   int error_streak = 0;
@@ -137,6 +138,7 @@
 
   Responder answer;  // a report waits for a commit
   double answer_by = 0;
+  bool held = false;  // nothing is placed there: its report waits for work
   bool direct_inflight = false;
 
   // May anything new be started here?
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -21,6 +21,7 @@
     8.0;                           // beyond the worker's lease: the tasks are gone, and so may be the machine
 constexpr double kPatient = 60.0;  // a job without deadline or wish may wait this long before it costs money
 constexpr double kNoteEvery = 10.0;
+constexpr std::size_t kMaxHints = 60;
 constexpr double kSummaryGood = 5.0;  // a part's summary is believed this long
 constexpr double kWindReserve = 0.2;  // of recent use, free on the other machines
 constexpr int kRentCalls = 8;
@@ -183,6 +184,13 @@
       orders.winding.push_back(machine.name);
     }
   }
+  for (const auto& [other, each] : summaries_) {
+    if (other == part || ctx_.env->now() - each.at > kSummaryGood) continue;
+    for (const DemandSummary& demand : each.summary.demands) {
+      if (orders.waiting.size() < kMaxHints)
+        orders.waiting.push_back({demand.demand, demand.urgency, demand.loaner});
+    }
+  }
   return orders;
 }
 
--- a/src/coordination/part.cpp
+++ b/src/coordination/part.cpp
@@ -10,6 +10,7 @@
 namespace {
 constexpr double kTick = 0.5;
 constexpr double kAnswerPatience = 1.2;  // workers drop answers after 4 s; committing rarely takes this long
+constexpr double kHoldShare = 0.6;       // of the report interval, for machines without a task
 constexpr double kProgressDelay = 0.8;   // completions are kept by the workers until reaped: nothing is lost
 constexpr double kSilentAfter = 1.5;
 constexpr double kLeaseMargin = 1.0;
@@ -203,7 +204,7 @@
 void Part::admit(HeadRecord head, std::uint64_t stamp) {
   if (jobs_.count(head.spec.ref) > 0) return;
   add_job(std::move(head), stamp);
-  if (active_) pump();
+  wake();
 }
 
 JobPtr Part::make_job(HeadRecord head, std::uint64_t stamp) {
@@ -334,10 +335,47 @@
   fill(machine);
   const bool waits = std::any_of(machine.placements.begin(), machine.placements.end(),
                                  [](const Placement& p) { return p.stage == Placement::Stage::kNew; });
-  if (!waits) answer(machine);
+  // An idle machine has nothing to tell: its report is answered when there is work, or a little later.
+  // (Workers wait 4 s, and their lease counts from when the report was sent.)
+  const bool idle = machine.placements.empty() && machine.strays.empty() && machine.acked &&
+                    machine.welcome() && ctx_.lease_valid();
+  if (!waits && idle) {
+    machine.held = true;
+    machine.answer_by = ctx_.env->now() + kHoldShare * ctx_.settings->report_s;
+  } else if (!waits) {
+    answer(machine);
+  }
   pump();
 }
 
+// There is new work: machines whose reports are held can start it at once, those that have an image of it
+// first.
+void Part::wake() {
+  if (waking_ || !active_) return;
+  waking_ = true;
+  ctx_.env->after(0, alive([this] {
+                    waking_ = false;
+                    std::vector<std::pair<bool, Machine*>> held;
+                    for (auto& [name, machine] : machines_) {
+                      if (!machine->held || machine->answer.answered()) continue;
+                      const bool local =
+                          std::any_of(jobs_.begin(), jobs_.end(), [&machine = *machine](const auto& item) {
+                            return !item.second->waiting.empty() && machine.has_image(item.second->bundle);
+                          });
+                      held.emplace_back(!local, machine.get());
+                    }
+                    std::stable_sort(held.begin(), held.end(),
+                                     [](const auto& a, const auto& b) { return a.first < b.first; });
+                    for (const auto& [far, machine] : held) {
+                      fill(*machine);
+                      if (machine->placements.empty()) continue;
+                      machine->held = false;
+                      machine->answer_by = ctx_.env->now() + kAnswerPatience;
+                    }
+                    pump();
+                  }));
+}
+
 // Works a report into the books. `direct`: it answered /commands, so a launch in the answer to an ordinary
 // report may still be on its way, and what is missing proves nothing about launches we sent.
 bool Part::take_report(Machine& machine, const Report& report, bool direct) {
@@ -517,14 +555,14 @@
     job->backoff.emplace_back(ctx_.env->now() + delay, index);
   } else {
     job->waiting.insert(index);
+    wake();
   }
 }
 
 // ---------------------------------------------------------------- filling a machine
 
 // No smaller type would do.
-bool Part::needs_type(const Job& job, int type) const {
-  const JobSpec& spec = job.spec();
+bool Part::needs_type(const JobSpec& spec, const Resources& demand, int type) const {
   const double cores = ctx_.types->at(type).cores;
   for (const MachineType& other : ctx_.types->all()) {
     if (other.cores >= cores) continue;
@@ -532,11 +570,16 @@
         std::find(spec.flavours->begin(), spec.flavours->end(), other.name) == spec.flavours->end()) {
       continue;
     }
-    if (fits(job.demand, {other.cores, other.memory_gb, other.accelerators})) return false;
+    if (fits(demand, {other.cores, other.memory_gb, other.accelerators})) return false;
   }
   return true;
 }
 
+// Its tasks could as well go to a smaller machine.
+bool Part::small_on(const Job& job, int type) const {
+  return flexible(job) && !needs_type(job.spec(), job.demand, type);
+}
+
 // Could go to any machine that is large enough.
 bool Part::flexible(const Job& job) {
   const JobSpec& spec = job.spec();
@@ -573,7 +616,7 @@
   for (const auto& [ref, job] : jobs_) {
     if (job->waiting.empty() || job->over()) continue;
     const int urgency = static_cast<int>(job->spec().urgency);
-    if (needs_type(*job, machine.type)) {
+    if (needs_type(job->spec(), job->demand, machine.type)) {
       if (!fits(job->demand, machine.capacity) || !allowed_on(*job, machine)) continue;
       if (!teams_.room(job->team, job->demand)) continue;
       large = true;
@@ -584,7 +627,13 @@
       for (std::size_t r = 0; r < 3; r++) small_demand[r] = std::max(small_demand[r], job->demand[r]);
     }
   }
-  if (small_tasks == 0) return false;
+  for (const WaitingHint& hint : elsewhere_) {
+    if (machine.record.loaner && !hint.loaner) continue;
+    if (!fits(hint.demand, machine.capacity) || !needs_type(JobSpec{}, hint.demand, machine.type)) continue;
+    large = true;
+    large_urgency = std::max(large_urgency, hint.urgency);
+  }
+  if (small_tasks == 0) return large;
   if (large && large_urgency >= small_urgency) return true;
   const double now = ctx_.env->now();
   int slots = 0;
@@ -621,9 +670,9 @@
       continue;
     }
     // Others have room for what can go anywhere; what cannot is still taken.
-    if (machine.winding && flexible(*job) && !needs_type(*job, machine.type)) continue;
+    if (machine.winding && small_on(*job, machine.type)) continue;
     if (job->done.range_count() > kMaxDoneRanges) continue;
-    if (keep_for_large && flexible(*job) && !needs_type(*job, machine.type)) continue;
+    if (keep_for_large && small_on(*job, machine.type)) continue;
     Request request;
     request.demand = job->demand;
     request.local = machine.has_image(job->bundle);
@@ -731,6 +780,7 @@
 
 void Part::answer(Machine& machine) {
   if (machine.answer.answered()) return;
+  machine.held = false;
   const std::vector<Order> orders = orders_for(machine);
   machine.last_answer = ctx_.env->now();
   machine.answer.send(200, orders_body(baton_, std::nullopt, orders));
@@ -831,6 +881,7 @@
         std::find(orders.draining.begin(), orders.draining.end(), name) != orders.draining.end();
     machine->winding = std::find(orders.winding.begin(), orders.winding.end(), name) != orders.winding.end();
   }
+  elsewhere_ = orders.waiting;
   for (const std::string& name : orders.gone) {
     const auto it = machines_.find(name);
     if (it != machines_.end()) machine_gone(*it->second);
--- a/src/coordination/part.hpp
+++ b/src/coordination/part.hpp
@@ -124,7 +124,9 @@
   void drop_placement(Machine& machine, std::size_t at);
   void requeue(const JobPtr& job, int index, double delay);
   void fill(Machine& machine);
-  [[nodiscard]] bool needs_type(const Job& job, int type) const;
+  [[nodiscard]] bool needs_type(const JobSpec& spec, const Resources& demand, int type) const;
+  [[nodiscard]] bool small_on(const Job& job, int type) const;
+  void wake();
   [[nodiscard]] bool allowed_on(const Job& job, const Machine& machine) const;
   [[nodiscard]] static bool flexible(const Job& job);
   [[nodiscard]] bool keeps_for_large(const Machine& machine) const;
@@ -170,6 +172,8 @@
   PreferenceWeights weights_;
   std::vector<std::pair<Report, Responder>> early_;  // reports that came while loading
   std::deque<std::string> recently_ended_;
+  std::vector<WaitingHint> elsewhere_;  // what waits at other parts, as the fleet told last
+  bool waking_ = false;
   bool borrowing_ = false;  // a part was asked and has not answered yet
   double next_borrow_ = 0;
   std::map<int, Resources> short_of_;  // by team: what a waiting task needs and the allowance lacks
--- a/src/coordination/part_lending.cpp
+++ b/src/coordination/part_lending.cpp
@@ -98,6 +98,7 @@
     }
   }
   jobs_.emplace(key, job);
+  wake();
 }
 
 // The job was cancelled at home: its tasks here are stopped, and the block goes when the last one is gone.
@@ -229,12 +230,15 @@
   for (const auto& [name, machine] : machines_) {
     if (machine->type < 0 || !machine->welcome() || now < machine->no_fill_until) continue;
     if (!machine->heard || now - machine->last_heard > 2 * ctx_.settings->report_s) continue;
-    if (machine->room[0] >= 0.5) rooms.emplace_back(machine.get(), machine->room);
+    if (machine->room[0] < 0.5) continue;
+    machine->keeping = keeps_for_large(*machine);
+    rooms.emplace_back(machine.get(), machine->room);
   }
   for (const auto& [name, job] : jobs_) {
     if (job->over()) continue;
     int left = std::min(job->waiting.size(), teams_.tasks_within(job->team, job->demand));
     for (auto& [machine, room] : rooms) {
+      if (machine->keeping && small_on(*job, machine->type)) continue;
       while (left > 0 && allowed_on(*job, *machine) && take(room, job->demand)) left--;
     }
   }
@@ -242,7 +246,7 @@
   for (const auto& [machine, room] : rooms) {
     if (room[0] < 0.5 || offers.size() >= kMaxOffers) continue;
     offers.push_back({machine->record.flavour, machine->record.hall, machine->record.loaner, room[0], room[1],
-                      room[2], machine->winding});
+                      room[2], machine->winding || machine->keeping});
   }
   if (offers.empty()) return;
   Json spare = Json::array();
@@ -282,6 +286,7 @@
   for (const auto& [name, machine] : machines_) {
     if (machine->type < 0 || !machine->welcome() || now < machine->no_fill_until) continue;
     if (!machine->heard || now - machine->last_heard > 2 * ctx_.settings->report_s) continue;
+    machine->keeping = keeps_for_large(*machine);
     rooms.emplace_back(machine.get(), machine->room);
   }
   std::vector<Request> requests;
@@ -300,6 +305,7 @@
     int left = job->waiting.size();
     int here = std::min(left, teams_.tasks_within(job->team, job->demand));
     for (auto& [machine, room] : rooms) {
+      if ((machine->keeping || machine->winding) && small_on(*job, machine->type)) continue;
       while (here > 0 && allowed_on(*job, *machine) && take(room, job->demand)) {
         here--;
         left--;
@@ -329,15 +335,16 @@
     const auto flavour = offer.at(0).get<std::string>();
     const auto hall = offer.at(1).get<std::string>();
     const bool loaner = offer.at(2).get<bool>();
-    const bool winding = offer.at(6).get<bool>();
+    const bool choosy = offer.at(6).get<bool>();
+    const int type = ctx_.types->find(flavour);
     Resources room = {offer.at(3).get<double>(), offer.at(4).get<double>(), offer.at(5).get<double>()};
     std::vector<Request> listed;
     std::vector<std::size_t> index;
     for (std::size_t i = 0; i < jobs.size(); i++) {
       const JobSpec& spec = jobs[i]->spec();
       if (loaner && !spec.loaner) continue;
-      // Winding down, it takes only what cannot go anywhere else.
-      if (winding && flexible(*jobs[i])) continue;
+      // Winding down or kept for large tasks, it takes only what cannot go anywhere else.
+      if (choosy && type >= 0 && small_on(*jobs[i], type)) continue;
       if (spec.hall && *spec.hall != hall) continue;
       if (spec.flavours &&
           std::find(spec.flavours->begin(), spec.flavours->end(), flavour) == spec.flavours->end()) {
--- a/src/coordination/summary.cpp
+++ b/src/coordination/summary.cpp
@@ -95,7 +95,11 @@
   return out;
 }
 
-Json FleetOrders::to_json() const { return {{"draining", draining}, {"winding", winding}, {"gone", gone}}; }
+Json FleetOrders::to_json() const {
+  Json hints = Json::array();
+  for (const WaitingHint& hint : waiting) hints.push_back({to_list(hint.demand), hint.urgency, hint.loaner});
+  return {{"draining", draining}, {"winding", winding}, {"gone", gone}, {"waiting", std::move(hints)}};
+}
 
 FleetOrders FleetOrders::from_json(const Json& value) {
   FleetOrders out;
@@ -103,6 +107,9 @@
     out.draining = value.at("draining").get<std::vector<std::string>>();
     out.winding = value.at("winding").get<std::vector<std::string>>();
     out.gone = value.at("gone").get<std::vector<std::string>>();
+    for (const Json& hint : value.at("waiting")) {
+      out.waiting.push_back({from_list(hint.at(0)), hint.at(1).get<int>(), hint.at(2).get<bool>()});
+    }
   } catch (const Json::exception&) {
     return {};
   }
--- a/src/coordination/summary.hpp
+++ b/src/coordination/summary.hpp
@@ -52,10 +52,18 @@
   static std::optional<PartSummary> from_json(const Json& value);
 };
 
+// Tasks that wait at other parts, so that a part can keep large machines free for them.
+struct WaitingHint {
+  Resources demand{};
+  int urgency = 0;
+  bool loaner = false;
+};
+
 struct FleetOrders {
   std::vector<std::string> draining;
   std::vector<std::string> winding;
   std::vector<std::string> gone;  // the cloud confirmed it
+  std::vector<WaitingHint> waiting;
 
   [[nodiscard]] Json to_json() const;
   static FleetOrders from_json(const Json& value);
