--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -20,6 +20,7 @@
 constexpr double kSilentExtra =
     8.0;                           // beyond the worker's lease: the tasks are gone, and so may be the machine
 constexpr double kPatient = 60.0;  // a job without deadline or wish may wait this long before it costs money
+constexpr double kTrouble = 2.0;   // the cloud is left alone this long after it failed to answer
 constexpr double kNoteEvery = 10.0;
 constexpr std::size_t kMaxHints = 60;
 constexpr double kSummaryGood = 5.0;  // a part's summary is believed this long
@@ -65,7 +66,10 @@
   if (ctx_.lease_valid()) {
     double used = 0;
     for (const auto& [part, told] : summaries_) used += told.summary.used_cores;
-    const double weight = std::min(1.0, (now - last_step_) / kSmooth);
+    // A new fleet owner starts from what it finds, not from nothing.
+    const bool first = !knows_use_ && static_cast<int>(summaries_.size()) == ctx_.parts;
+    if (first) knows_use_ = true;
+    const double weight = first ? 1.0 : std::min(1.0, (now - last_step_) / kSmooth);
     used_cores_ += (used - used_cores_) * weight;
     judge();
     send_returns();
@@ -343,8 +347,8 @@
 }
 
 void Fleet::plan() {
-  if (rent_calls_ >= kRentCalls) return;
   const double now = ctx_.env->now();
+  if (rent_calls_ >= kRentCalls || now < trouble_until_) return;
   const Tuning& tuning = ctx_.settings->tuning;
 
   std::vector<FleetType> types;
@@ -524,6 +528,12 @@
 void Fleet::call_rental(const std::string& name) {
   const auto it = rentals_.find(name);
   if (it == rentals_.end()) return;
+  // Repeats pass the bucket like any other call: while the cloud was away they once ran up a debt of calls
+  // that kept it from being asked for a minute after it was back.
+  if (ctx_.env->now() < trouble_until_ || !ctx_.cloud->ready()) {
+    ctx_.env->after(ctx_.env->uniform(0.5, 1.0), alive([this, name] { call_rental(name); }));
+    return;
+  }
   const RentalRequest request = it->second.request;
   ctx_.cloud->rent(
       request, alive([this, name, request](const CloudReply& reply) {
@@ -566,6 +576,7 @@
           return;
         }
         // Trouble, too many calls or silence: the same name again, until the answer is certain.
+        trouble_until_ = now + kTrouble;
         ctx_.env->after(reply.status == 0 ? 1.0 : 2.0, alive([this, name] { call_rental(name); }));
       }));
 }
--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -118,6 +118,8 @@
   double used_cores_ = 0;       // smoothed
   double last_step_ = 0;
   double next_note_ = 0;
+  double trouble_until_ = 0;
+  bool knows_use_ = false;
 };
 
 }  // namespace mothslip
