--- a/src/coordination/part_lending.cpp
+++ b/src/coordination/part_lending.cpp
@@ -245,8 +245,10 @@
   Json offers = Json::array();
   for (const auto& [machine, room] : rooms) {
     if (room[0] < 0.5 || offers.size() >= kMaxOffers) continue;
+    Json images = Json::array();
+    for (const auto& [image, gb] : machine->images) images.push_back(bundles_.name(image));
     offers.push_back({machine->record.flavour, machine->record.hall, machine->record.loaner, room[0], room[1],
-                      room[2], machine->winding || machine->keeping});
+                      room[2], machine->winding || machine->keeping, std::move(images)});
   }
   if (offers.empty()) return;
   Json spare = Json::array();
@@ -336,6 +338,7 @@
     const auto hall = offer.at(1).get<std::string>();
     const bool loaner = offer.at(2).get<bool>();
     const bool choosy = offer.at(6).get<bool>();
+    const auto images = offer.at(7).get<std::vector<std::string>>();
     const int type = ctx_.types->find(flavour);
     Resources room = {offer.at(3).get<double>(), offer.at(4).get<double>(), offer.at(5).get<double>()};
     std::vector<Request> listed;
@@ -351,6 +354,7 @@
         continue;
       }
       listed.push_back(requests[i]);
+      listed.back().local = std::find(images.begin(), images.end(), spec.bundle) != images.end();
       index.push_back(i);
     }
     while (!listed.empty()) {
