Kept traces; a restarted node no longer stalls before taking its parts

Found by the trace of a takeover: a node whose lease was open before it had read the parts claimed them as if they were free, lost that race against its own earlier process, and then saw nothing new to act on until some part changed. Parts are now considered only once read, and again after every lost claim.

--- a/src/coordination/ownership.cpp
+++ b/src/coordination/ownership.cpp
@@ -142,8 +142,12 @@
                 for (int p = 0; p < parts(); p++) {
                   if (!present[static_cast<std::size_t>(p)]) see(p, {"", "", epoch});
                 }
-                watched_ = epoch;
-                if (!watching_) watch_parts();
+                    watched_ = epoch;
+    if (!watching_) watch_parts();
+    if (!parts_read_) {
+      parts_read_ = true;
+      for (int p = 0; p < parts(); p++) consider(p);
+    }
               });
 }
 
@@ -274,7 +278,7 @@
 
 void Ownership::consider(int part) {
   const auto at = static_cast<std::size_t>(part);
-  if (hold_ == 0 || held_[at] != 0 || claiming_[at]) return;
+  if (hold_ == 0 || !parts_read_ || held_[at] != 0 || claiming_[at]) return;
   if (owners_[at].node.empty()) {
     env_.after(patience(part), [this, part, at] {
       if (hold_ != 0 && held_[at] == 0 && !claiming_[at] && owners_[at].node.empty()) claim(part, 0);
@@ -322,6 +326,8 @@
           listener_.owners_changed();
         } else {
           see(part, {node, boot, found});
+          // What we see may be no news, and still be ours to take: a start once stalled here.
+          env_.after(kRetry, [this, part] { consider(part); });
         }
         return;
       }
--- a/src/coordination/ownership.hpp
+++ b/src/coordination/ownership.hpp
@@ -80,6 +80,7 @@
   bool reading_ = false;
   bool watching_ = false;
   bool releasing_ = false;
+  bool parts_read_ = false;  // before, a part without a known owner may well have one
 };
 
 }  // namespace mothslip
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -599,6 +599,10 @@
   const auto answer = [reply](int status, const Json& body) { reply({status, body.dump()}); };
   if (call.destination == kState) {
     if (state_refuses.count(from) > 0) return answer(503, {{"error", "trouble"}});
+    if (call.path == "/commit" && drop_state_answers > 0) {
+      drop_state_answers--;
+      return state.handle(call.method, call.path, call.body, [](int, const Json&) {});
+    }
     return state.handle(call.method, call.path, call.body, answer);
   }
   if (call.destination == kCloud) return cloud.handle(call.path, call.body, answer);
@@ -620,6 +624,7 @@
     if (worker->address == call.destination && !worker->dead)
       return worker->handle(call.path, call.body, answer);
   }
+  if (outside) outside(call);
 }
 
 // ---------------------------------------------------------------- users
@@ -766,12 +771,16 @@
   for (const auto& [ref, job] : jobs) {
     if (job.accepted && !job.told_done && !job.told_aborted) {
       open++;
-      out << ref << " open: " << job.completed.size() << " of " << job.pieces << " completed; " << dump_json(job.body) << "\n";
+      out << ref << " open: " << job.completed.size() << " of " << job.pieces << " completed; "
+          << dump_json(job.body) << "\n";
     }
   }
   for (const auto& [key, value] : state.values()) {
-    if (key.rfind("j/", 0) != 0 && key.rfind("b/", 0) != 0 && key.rfind("t/", 0) != 0 && key.rfind("d/", 0) != 0) continue;
-    out << key << " " << (key[0] == 'b' ? value["range"].dump() + " done " + value["done"].dump() : value.dump()) << "\n";
+    if (key.rfind("j/", 0) != 0 && key.rfind("b/", 0) != 0 && key.rfind("t/", 0) != 0 &&
+        key.rfind("d/", 0) != 0)
+      continue;
+    out << key << " "
+        << (key[0] == 'b' ? value["range"].dump() + " done " + value["done"].dump() : value.dump()) << "\n";
   }
   out << jobs.size() << " jobs, " << open << " open, " << starts << " starts, " << workers.size()
       << " machines\n";
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -217,7 +217,9 @@
   std::vector<std::string> violations;
   std::set<std::pair<std::string, std::string>> cuts;
   std::set<std::string> state_refuses;  // nodes that get 503 from the state service while others are served
-  double hold_share = 0.5;              // of what meets a cut: delivered late rather than lost
+  std::function<void(const HttpCall&)> outside;  // hears what is sent to an address that nobody has
+  int drop_state_answers = 0;  // so many answers to commits get lost, though the commits are carried out
+  double hold_share = 0.5;     // of what meets a cut: delivered late rather than lost
   std::map<std::string, double> cut_until;
   int starts = 0;
 
--- /dev/null
+++ b/tests/trace_test.cpp
@@ -0,0 +1,224 @@
+// Plays the kept traces: messages to one controller, and the decisions expected of it. tests/traces/README.md
+// describes the form.
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <sstream>
+
+#include "sim/world.hpp"
+
+using namespace mothslip;
+using namespace mothslip::sim;
+
+namespace {
+
+Options one_node() {
+  Options out;
+  out.nodes = 1;
+  out.loss = 0;
+  return out;
+}
+
+class Player {
+ public:
+  Player() : world_(one_node()) {
+    spdlog::set_level(std::getenv("SIM_LOG") != nullptr ? spdlog::level::info : spdlog::level::off);
+    world_.outside = [this](const HttpCall& call) {
+      const Json body = parse_json(call.body);
+      said_.push_back("~ " + call.destination.substr(0, call.destination.find(':')) + " " + orders(body));
+    };
+    world_.run_until(5);
+    world_.cloud.outage = true;  // the trace brings its own machines
+  }
+
+  // What the controller says to one line of the trace.
+  std::vector<std::string> play(const std::string& line) {
+    said_.clear();
+    std::istringstream in(line);
+    std::string verb;
+    in >> verb;
+    if (verb == "hello") {
+      hello(in);
+    } else if (verb == "submit") {
+      submit(in);
+    } else if (verb == "poll" || verb == "cancel") {
+      std::string ref;
+      in >> ref;
+      const bool poll = verb == "poll";
+      const HttpReply reply =
+          ask(poll ? "GET" : "POST", "/v2/runs/" + ref + (poll ? "" : "/cancel"), poll ? "" : "{}");
+      const Json body = parse_json(reply.body);
+      said_.push_back("= " + std::to_string(reply.status) + " " +
+                      (body.is_object() ? body.value("phase", body.value("error", "")) : ""));
+    } else if (verb == "wait") {
+      double seconds = 0;
+      in >> seconds;
+      world_.run_until(world_.now + seconds);
+    } else if (verb == "state") {
+      std::string what;
+      in >> what;
+      if (what == "out") world_.state.set_outage(true);
+      if (what == "back") world_.state.set_outage(false);
+      if (what == "loses-answer") world_.drop_state_answers = 1;
+    } else if (verb == "restart") {
+      world_.crash_node(0, 0.2);
+      world_.run_until(world_.now + 1.5);
+    } else {
+      ADD_FAILURE() << "no such verb: " << line;
+    }
+    return said_;
+  }
+
+ private:
+  HttpReply ask(const std::string& method, const std::string& path, const std::string& body) {
+    HttpReply out;
+    bool over = false;
+    world_.send("user", {"10.0.0.1:8080", method, path, body, 5}, [&](HttpReply reply) {
+      out = std::move(reply);
+      over = true;
+    });
+    while (!over) world_.run_until(world_.now + 0.01);
+    return out;
+  }
+
+  // hello HOST FLAVOUR HALL tenure=N tick=N baton=B [REF/I:T:PHASE[:CAUSE]]...
+  void hello(std::istringstream& in) {
+    std::string host;
+    std::string flavour;
+    std::string hall;
+    std::string word;
+    in >> host >> flavour >> hall;
+    Json report = {{"host", host},    {"address", host + ":9000"}, {"flavour", flavour},     {"hall", hall},
+                   {"loaner", false}, {"warning_s", nullptr},      {"pieces", Json::array()}};
+    while (in >> word) {
+      const auto eq = word.find('=');
+      if (eq != std::string::npos) {
+        const std::string value = word.substr(eq + 1);
+        report[word.substr(0, eq)] = value[0] == 'B' ? batons_.at(value) : std::stoull(value);
+        continue;
+      }
+      std::istringstream parts(word);
+      std::string piece;
+      std::string attempt;
+      std::string phase;
+      std::string cause;
+      std::getline(parts, piece, ':');
+      std::getline(parts, attempt, ':');
+      std::getline(parts, phase, ':');
+      Json item = {{"piece", piece}, {"try_no", tries_.at(attempt)}, {"phase", phase}};
+      if (std::getline(parts, cause, ':')) item["exit_cause"] = cause;
+      report["pieces"].push_back(item);
+    }
+    const HttpReply reply = ask("POST", "/hello", report.dump());
+    said_.push_back("= " + std::to_string(reply.status) + " " + orders(parse_json(reply.body)));
+  }
+
+  // submit REF pieces=N cores=N owner=TEAM [field=value]...
+  void submit(std::istringstream& in) {
+    std::string ref;
+    std::string word;
+    in >> ref;
+    Json body = {{"ref", ref},
+                 {"workload", "w"},
+                 {"owner", "red"},
+                 {"shape", "array"},
+                 {"urgency", "normal"},
+                 {"pieces", 1},
+                 {"cores", 1.0},
+                 {"accelerators", 0.0},
+                 {"memory_gb", 1.0},
+                 {"bundle", "img-1"},
+                 {"pull_gb", 1.0},
+                 {"together", false},
+                 {"scatter", false},
+                 {"loaner", true},
+                 {"guess_s", 20.0},
+                 {"snapshot_every_s", 0.0},
+                 {"snapshot_cost_s", 0.0}};
+    while (in >> word) {
+      const auto eq = word.find('=');
+      const std::string value = word.substr(eq + 1);
+      const Json parsed = parse_json(value);
+      body[word.substr(0, eq)] = parsed.is_discarded() ? Json(value) : parsed;
+    }
+    const HttpReply reply = ask("POST", "/v2/runs", body.dump());
+    const Json answer = parse_json(reply.body);
+    said_.push_back("= " + std::to_string(reply.status) + " " +
+                    (answer.is_object() ? answer.value("phase", answer.value("error", "")) : ""));
+  }
+
+  std::string orders(const Json& body) {
+    if (!body.is_object() || !body.contains("baton")) return body.is_object() ? body.value("error", "") : "";
+    std::string out = alias(batons_, "B", body["baton"].get<std::uint64_t>());
+    for (const Json& order : body["orders"]) {
+      out += " " + order["verb"].get<std::string>() + " " + order["piece"].get<std::string>() + ":" +
+             alias(tries_, "T", order["try_no"].get<std::uint64_t>());
+    }
+    return out;
+  }
+
+  // Tokens and attempts are named in the order in which they are first seen.
+  static std::string alias(std::map<std::string, std::uint64_t>& names, const char* letter,
+                           std::uint64_t value) {
+    for (const auto& [name, known] : names) {
+      if (known == value) return name;
+    }
+    const std::string name = letter + std::to_string(names.size() + 1);
+    names.emplace(name, value);
+    return name;
+  }
+
+  World world_;
+  std::map<std::string, std::uint64_t> batons_;
+  std::map<std::string, std::uint64_t> tries_;
+  std::vector<std::string> said_;
+};
+
+std::vector<std::string> trace_files() {
+  std::vector<std::string> out;
+  for (const auto& entry : std::filesystem::directory_iterator(TRACES_DIR)) {
+    if (entry.path().extension() == ".trace") out.push_back(entry.path().stem().string());
+  }
+  std::sort(out.begin(), out.end());
+  return out;
+}
+
+class Trace : public ::testing::TestWithParam<std::string> {};
+
+}  // namespace
+
+TEST_P(Trace, IsDecidedAsWritten) {
+  std::ifstream file(std::string(TRACES_DIR) + "/" + GetParam() + ".trace");
+  Player player;
+  std::string line;
+  std::string step;
+  std::vector<std::string> expected;
+  int number = 0;
+  int at = 0;
+  int checked = 0;
+  const auto finish = [&] {
+    if (step.empty()) return;
+    EXPECT_EQ(player.play(step), expected) << GetParam() << ".trace:" << at << ": " << step;
+    checked += static_cast<int>(expected.size());
+    expected.clear();
+  };
+  while (std::getline(file, line)) {
+    number++;
+    if (line.empty() || line[0] == '#') continue;
+    if (line[0] == '=' || line[0] == '~') {
+      expected.push_back(line);
+      continue;
+    }
+    finish();
+    step = line;
+    at = number;
+  }
+  finish();
+  EXPECT_GT(checked, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Kept, Trace, ::testing::ValuesIn(trace_files()),
+                         [](const auto& test) { return test.param; });
