--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -237,8 +237,10 @@
     heard++;
     if (machine->silent_s > lease) silent++;
   }
-  // When most are silent, the fault is more likely on our side of the network.
-  const double patience = heard >= 4 && silent * 2 > heard ? 3 * lease : lease + kSilentExtra;
+  // Several at once are more likely cut off than dead, and come back sooner than new ones boot (incident
+  // 0675).
+  const bool many = silent >= 3 && silent * 5 > heard;
+  const double patience = many ? 3 * lease : lease + kSilentExtra;
   const double lag = ctx_.settings->list_lag_s;
   for (auto it = rented_.begin(); it != rented_.end();) {
     const std::string& name = it->first;
@@ -271,8 +273,8 @@
         if (age > kBootLost * boot + 10) start_return(name, rented, "never came up");
       } else if (machine->sick) {
         start_return(name, rented, "sick");
-      } else if (machine->silent_s > patience) {
-        start_return(name, rented, "silent");
+      } else if (machine->silent_s > patience || (machine->silent_s > lease && rented.missing >= 2)) {
+        start_return(name, rented, rented.missing >= 2 ? "taken" : "silent");
       }
     }
     ++it;
--- a/src/coordination/ownership.cpp
+++ b/src/coordination/ownership.cpp
@@ -142,12 +142,12 @@
                 for (int p = 0; p < parts(); p++) {
                   if (!present[static_cast<std::size_t>(p)]) see(p, {"", "", epoch});
                 }
-                    watched_ = epoch;
-    if (!watching_) watch_parts();
-    if (!parts_read_) {
-      parts_read_ = true;
-      for (int p = 0; p < parts(); p++) consider(p);
-    }
+                watched_ = epoch;
+                if (!watching_) watch_parts();
+                if (!parts_read_) {
+                  parts_read_ = true;
+                  for (int p = 0; p < parts(); p++) consider(p);
+                }
               });
 }
 
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -242,6 +242,29 @@
   expect_kept(world);
 }
 
+// Several machines that fall silent together are more likely cut off than dead: they are waited for, and
+// serve again.
+TEST_P(Cluster, MachinesThatAreCutOffTogetherAreNotReturned) {
+  World world(options());
+  world.hold_share = 0;
+  add_jobs(world, 2, 60);
+  std::vector<Worker*> away;
+  world.at(50, [&world, &away] {
+    for (auto& [name, worker] : world.workers) {
+      if (away.size() >= 4 || worker->dead || worker->tasks.empty()) continue;
+      away.push_back(worker.get());
+      for (int i = 0; i < 3; i++) world.cuts.insert({name, "roost-" + std::to_string(i)});
+    }
+  });
+  world.at(74, [&world, &away] {
+    world.cuts.clear();
+    EXPECT_GE(away.size(), 3u);
+    for (const Worker* worker : away) EXPECT_FALSE(worker->dead) << worker->name;
+  });
+  world.run_until(500);
+  expect_kept(world);
+}
+
 // A job of the largest size stays within the limits of values and transactions (the stand-in checks them).
 TEST(Sim, AHundredThousandTasks) {
   spdlog::set_level(spdlog::level::off);
