--- a/src/coordination/part_lending.cpp
+++ b/src/coordination/part_lending.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 constexpr double kBorrowEvery = 0.4;
+constexpr double kBorrowIdle = 0.9;
 constexpr double kGiveBack = 2.5;       // waiting tasks of a block that found no place this long go home
 constexpr double kProgressDelay = 0.8;  // as for a job at home
 constexpr double kLoadRetry = 0.2;
@@ -226,6 +227,7 @@
 void Part::borrow() {
   const double now = ctx_.env->now();
   if (borrowing_ || now < next_borrow_ || state_silent() || !ctx_.lease_valid()) return;
+  next_borrow_ = now + kBorrowEvery;
   std::vector<std::pair<const Machine*, Resources>> rooms;
   for (const auto& [name, machine] : machines_) {
     if (machine->type < 0 || !machine->welcome() || now < machine->no_fill_until) continue;
@@ -263,7 +265,8 @@
            alive([this](const Json& answer) {
              borrowing_ = false;
              const bool lent = answer.is_object() && answer.value("lent", 0) > 0;
-             next_borrow_ = ctx_.env->now() + (lent ? kBorrowEvery : kBorrowEvery / 2);
+             // Asking costs processor time on both sides: seldom while the fleet knows of nothing that waits.
+             next_borrow_ = ctx_.env->now() + (lent || !elsewhere_.empty() ? kBorrowEvery : kBorrowIdle);
            }));
 }
 
