Transactions are built as JSON only when sent

Cause: a profile of the simulated cluster showed 7.5 % of all instructions in building the ownership guard of transactions that had nothing to commit.

--- a/src/coordination/state_client.cpp
+++ b/src/coordination/state_client.cpp
@@ -33,6 +33,12 @@
 }
 }  // namespace
 
+std::string Transaction::body() const {
+  Json conditions = Json::array();
+  for (const auto& [key, stamp] : guards) conditions.push_back({{"k", key}, {"stamp", stamp}});
+  return dump_json({{"guards", std::move(conditions)}, {"then", then}});
+}
+
 StateClient::StateClient(Env& env, const Settings& settings)
     : env_(env),
       address_(settings.state),
--- a/src/coordination/state_client.hpp
+++ b/src/coordination/state_client.hpp
@@ -37,18 +37,18 @@
 };
 using StateHandler = std::function<void(StateReply)>;
 
+// Parts look for something to commit far more often than they find it: a transaction is cheap until it is
+// sent.
 struct Transaction {
-  Json guards = Json::array();
+  std::vector<std::pair<std::string, std::uint64_t>> guards;
   Json then = Json::array();
-  void guard(const std::string& key, std::uint64_t stamp) {
-    guards.push_back({{"k", key}, {"stamp", stamp}});
-  }
+  void guard(const std::string& key, std::uint64_t stamp) { guards.emplace_back(key, stamp); }
   void put(const std::string& key, Json data) { then.push_back({{"put", key}, {"data", std::move(data)}}); }
   void put_held(const std::string& key, Json data, std::uint64_t hold) {
     then.push_back({{"put", key}, {"data", std::move(data)}, {"hold", hold}});
   }
   void remove(const std::string& key) { then.push_back({{"delete", key}}); }
-  [[nodiscard]] std::string body() const { return dump_json({{"guards", guards}, {"then", then}}); }
+  [[nodiscard]] std::string body() const;
 };
 
 struct StateItem {
