--- a/src/bookkeeping/ledger.hpp
+++ b/src/bookkeeping/ledger.hpp
@@ -54,7 +54,6 @@
 
   int error_streak = 0;
   std::vector<std::pair<double, int>> backoff;  // when, which task
-  double first_seen = 0;
 
   [[nodiscard]] const JobSpec& spec() const { return head.spec; }
   [[nodiscard]] bool over() const { return head.aborted || complete(); }
@@ -101,7 +100,6 @@
   PiecePhase phase = PiecePhase::kPulling;
   double running_since = 0;
   double requeue_delay = 0;
-  bool stop_asked = false;
 };
 
 struct Machine {
--- a/src/coordination/front.cpp
+++ b/src/coordination/front.cpp
@@ -22,7 +22,7 @@
 void Front::note_ended(const std::string& ref, const char* phase, int pieces) {
   if (ended_.count(ref) > 0) return;
   ended_age_.push_back(ref);
-  ended_.emplace(ref, Ended{phase, pieces, std::prev(ended_age_.end())});
+  ended_.emplace(ref, Ended{phase, pieces});
   if (ended_.size() > kMaxEnded) {
     ended_.erase(ended_age_.front());
     ended_age_.pop_front();
--- a/src/coordination/front.hpp
+++ b/src/coordination/front.hpp
@@ -4,8 +4,8 @@
 // part and are forwarded to it. Ended jobs are answered by anyone who knows, for good.
 #pragma once
 
+#include <deque>
 #include <functional>
-#include <list>
 #include <string>
 #include <unordered_map>
 
@@ -37,7 +37,6 @@
   struct Ended {
     std::string phase;
     int pieces = 0;
-    std::list<std::string>::iterator age;
   };
   enum class Known { kOpen, kEnded, kUnknown, kUnsure };
   void look_up(const std::string& ref, std::function<void(Known)> handler);
@@ -49,7 +48,7 @@
 
   Context ctx_;
   std::unordered_map<std::string, Ended> ended_;
-  std::list<std::string> ended_age_;
+  std::deque<std::string> ended_age_;
 };
 
 }  // namespace mothslip
--- a/src/coordination/part.cpp
+++ b/src/coordination/part.cpp
@@ -21,11 +21,11 @@
 constexpr double kLoadRetry = 0.2;
 constexpr std::size_t kMaxEarly = 400;
 constexpr std::size_t kRecentlyEnded = 256;
-constexpr std::size_t kRecordBytes = 6000;  // leave room below the value size
+constexpr double kRecordShare = 0.7;  // of the value size: room for what is not placements
 constexpr std::size_t kBytesPerPlacement = 40;
 constexpr double kUrgencyBonus = 0.5;  // a class of urgency weighs as much as half the pressure of a deadline
 constexpr double kGuaranteeBonus = 0.5;
-constexpr std::size_t kMaxDoneRanges = 700;  // progress text stays well within a value
+constexpr double kBytesPerRange = 12;  // of progress text, at the most
 
 }  // namespace
 
@@ -37,6 +37,7 @@
   weights_.alignment = tuning.weight_alignment;
   weights_.slack = tuning.weight_slack;
   weights_.locality = tuning.weight_locality;
+  value_bytes_ = ctx_.settings->value_kb * 1024;
 }
 
 Part::~Part() = default;
@@ -671,7 +672,7 @@
     }
     // Others have room for what can go anywhere; what cannot is still taken.
     if (machine.winding && small_on(*job, machine.type)) continue;
-    if (job->done.range_count() > kMaxDoneRanges) continue;
+    if (static_cast<double>(job->done.range_count()) * kBytesPerRange > value_bytes_) continue;
     if (keep_for_large && small_on(*job, machine.type)) continue;
     Request request;
     request.demand = job->demand;
@@ -692,7 +693,7 @@
     weights_.resource[r] = largest > 0 ? 1 / largest : 0;
   }
   std::size_t bytes = 200 + machine.placements.size() * kBytesPerPlacement;
-  while (!requests.empty() && bytes < kRecordBytes) {
+  while (!requests.empty() && static_cast<double>(bytes) < kRecordShare * value_bytes_) {
     for (std::size_t i = 0; i < requests.size();) {
       const Job& job = *jobs[i];
       const JobSpec& spec = job.spec();
@@ -1011,20 +1012,20 @@
 // transaction while one is under way already.
 bool Part::commit_launches() {
   Transaction txn = guarded();
-  struct Part_ {
+  struct Written {
     Machine* machine;
     std::vector<std::uint64_t> added;
     std::vector<std::uint64_t> removed;
     bool erase;
   };
-  std::vector<Part_> batch;
+  std::vector<Written> batch;
   std::map<std::string, std::uint64_t> heads;
   const auto most = static_cast<std::size_t>(ctx_.state->writes_per_txn());
   for (auto& [name, owned] : machines_) {
     Machine& machine = *owned;
     if (!machine.dirty || machine.inflight) continue;
     if (txn.then.size() >= most) break;
-    Part_ item{&machine, {}, {}, machine.gone};
+    Written item{&machine, {}, {}, machine.gone};
     HostRecord record = machine.record;
     record.placements.clear();
     for (Placement& placement : machine.placements) {
@@ -1056,12 +1057,12 @@
   for (const auto& [key, stamp] : heads) txn.guard(key, stamp);
   std::vector<std::string> names;
   names.reserve(batch.size());
-  for (const Part_& item : batch) names.push_back(item.machine->name);
+  for (const Written& item : batch) names.push_back(item.machine->name);
   send_commit(
       Lane::kLaunch, kLaunchSlot, std::move(txn),
       [this, batch, names](std::uint64_t epoch) {
         for (std::size_t b = 0; b < batch.size(); b++) {
-          const Part_& item = batch[b];
+          const Written& item = batch[b];
           Machine& machine = *item.machine;
           machine.inflight = false;
           machine.stamp = item.erase ? 0 : epoch;
@@ -1099,7 +1100,7 @@
           if (!borrowed) return false;
         }
         for (const JobPtr& job : over) drop_borrowed(job);
-        for (const Part_& item : batch) {
+        for (const Written& item : batch) {
           Machine& machine = *item.machine;
           machine.inflight = false;
           machine.dirty = true;
--- a/src/coordination/part.hpp
+++ b/src/coordination/part.hpp
@@ -168,6 +168,7 @@
   std::map<std::string, JobPtr> jobs_;
   std::map<std::string, std::unique_ptr<Machine>> machines_;
   TeamLedger teams_;
+  double value_bytes_ = 0;  // the state service takes no larger value
   NameTable bundles_;
   PreferenceWeights weights_;
   std::vector<std::pair<Report, Responder>> early_;  // reports that came while loading
