--- a/src/bookkeeping/ledger.hpp
+++ b/src/bookkeeping/ledger.hpp
@@ -75,9 +75,7 @@
     return open;
   }
   void saved(const RangeSet& indices, double now) {
-    for (const auto& [first, last] : indices.ranges()) {
-      for (int i = first; i < last; i++) unsaved.erase(i);
-    }
+    unsaved.erase(indices);
     unsaved_since = now;
   }
   [[nodiscard]] bool durable(int index) const { return done.contains(index) && !unsaved.contains(index); }
--- a/src/bookkeeping/ranges.cpp
+++ b/src/bookkeeping/ranges.cpp
@@ -33,6 +33,12 @@
   size_--;
 }
 
+void RangeSet::erase(const RangeSet& other) {
+  for (const auto& [first, last] : other.ranges_) {
+    for (int i = first; i < last; i++) erase(i);
+  }
+}
+
 bool RangeSet::contains(int index) const {
   const auto it = ranges_.upper_bound(index);
   return it != ranges_.begin() && index < std::prev(it)->second;
--- a/src/bookkeeping/ranges.hpp
+++ b/src/bookkeeping/ranges.hpp
@@ -14,6 +14,7 @@
   void insert(int first, int last);  // half open
   void insert(int index) { insert(index, index + 1); }
   void erase(int index);
+  void erase(const RangeSet& other);
   void clear() { ranges_.clear(), size_ = 0; }
   [[nodiscard]] bool contains(int index) const;
   [[nodiscard]] int size() const { return size_; }
--- a/src/coordination/part.cpp
+++ b/src/coordination/part.cpp
@@ -11,19 +11,16 @@
 constexpr double kTick = 0.5;
 constexpr double kAnswerPatience = 1.2;  // workers drop answers after 4 s; committing rarely takes this long
 constexpr double kHoldShare = 0.6;       // of the report interval, for machines without a task
-constexpr double kProgressDelay = 0.8;   // completions are kept by the workers until reaped: nothing is lost
 constexpr double kSilentAfter = 1.5;
 constexpr double kLeaseMargin = 1.0;
 constexpr double kDrift = 0.002;
 constexpr double kWatch = 25.0;
 constexpr double kBlockPause = 0.12;
 constexpr std::size_t kMergeBlocks = 3;  // completed blocks worth a transaction of their own
-constexpr double kLoadRetry = 0.2;
 constexpr std::size_t kMaxEarly = 400;
 constexpr std::size_t kRecentlyEnded = 256;
 constexpr double kRecordShare = 0.7;  // of the value size: room for what is not placements
 constexpr std::size_t kBytesPerPlacement = 40;
-constexpr double kUrgencyBonus = 0.5;  // a class of urgency weighs as much as half the pressure of a deadline
 constexpr double kGuaranteeBonus = 0.5;
 constexpr double kBytesPerRange = 12;  // of progress text, at the most
 
@@ -82,9 +79,7 @@
                        }
                        job.progress_stamp = item.stamp;
                        job.done = std::move(*done);
-                       for (const auto& [first, last] : job.done.ranges()) {
-                         for (int i = first; i < last; i++) job.waiting.erase(i);
-                       }
+                       job.waiting.erase(job.done);
                      }
                      load_blocks();
                    }));
@@ -587,15 +582,18 @@
   return spec.loaner && !spec.hall && !spec.flavours && !spec.together && !spec.scatter;
 }
 
+// What the job itself allows: kind, zone and type of machine.
+bool Part::may_go(const JobSpec& spec, const std::string& flavour, const std::string& hall, bool loaner) {
+  if (loaner && !spec.loaner) return false;
+  if (spec.hall && *spec.hall != hall) return false;
+  return !spec.flavours ||
+         std::find(spec.flavours->begin(), spec.flavours->end(), flavour) != spec.flavours->end();
+}
+
 // Whether the rules let one more task of the job onto the machine now, room apart.
 bool Part::allowed_on(const Job& job, const Machine& machine) const {
   const JobSpec& spec = job.spec();
-  if (machine.record.loaner && !spec.loaner) return false;
-  if (spec.hall && *spec.hall != machine.record.hall) return false;
-  if (spec.flavours && std::find(spec.flavours->begin(), spec.flavours->end(), machine.record.flavour) ==
-                           spec.flavours->end()) {
-    return false;
-  }
+  if (!may_go(spec, machine.record.flavour, machine.record.hall, machine.record.loaner)) return false;
   const auto in_hall = job.placed_by_hall.find(machine.hall);
   const int here = in_hall == job.placed_by_hall.end() ? 0 : in_hall->second;
   if (job.bound() && job.lent_open() > 0) return false;  // another part holds what is placed of it
--- a/src/coordination/part.hpp
+++ b/src/coordination/part.hpp
@@ -127,6 +127,8 @@
   [[nodiscard]] bool needs_type(const JobSpec& spec, const Resources& demand, int type) const;
   [[nodiscard]] bool small_on(const Job& job, int type) const;
   void wake();
+  [[nodiscard]] static bool may_go(const JobSpec& spec, const std::string& flavour, const std::string& hall,
+                                   bool loaner);
   [[nodiscard]] bool allowed_on(const Job& job, const Machine& machine) const;
   [[nodiscard]] static bool flexible(const Job& job);
   [[nodiscard]] bool keeps_for_large(const Machine& machine) const;
@@ -156,6 +158,12 @@
     };
   }
 
+  static constexpr double kLoadRetry = 0.2;
+  // Completions are kept by the workers until reaped: writing them a little later loses nothing.
+  static constexpr double kProgressDelay = 0.8;
+  // A class of urgency weighs as much as half the pressure of a deadline.
+  static constexpr double kUrgencyBonus = 0.5;
+
   Context ctx_;
   int id_;
   std::uint64_t baton_;
--- a/src/coordination/part_lending.cpp
+++ b/src/coordination/part_lending.cpp
@@ -11,9 +11,7 @@
 namespace {
 constexpr double kBorrowEvery = 0.4;
 constexpr double kBorrowIdle = 0.9;
-constexpr double kGiveBack = 2.5;       // waiting tasks of a block that found no place this long go home
-constexpr double kProgressDelay = 0.8;  // as for a job at home
-constexpr double kLoadRetry = 0.2;
+constexpr double kGiveBack = 2.5;  // waiting tasks of a block that found no place this long go home
 constexpr std::size_t kMaxOffers = 40;
 constexpr int kMaxBlocks = 4;  // lent per request
 constexpr double kGrain = 64;  // allowances move in steps of 1/64, so that sums stay exact
@@ -46,9 +44,7 @@
                          if (it == jobs_.end()) continue;
                          Job& job = *it->second;
                          job.lent[item.key] = {record->range, record->done, item.stamp};
-                         for (const auto& [first, last] : record->range.ranges()) {
-                           for (int i = first; i < last; i++) job.waiting.erase(i);
-                         }
+                         job.waiting.erase(record->range);
                          for (const auto& [first, last] : record->done.ranges()) job.done.insert(first, last);
                        } else if (item.key.compare(0, own.size(), own) == 0) {
                          add_block(item.key, std::move(*record), item.stamp);
@@ -186,9 +182,7 @@
     Item item{job, job->range, job->unsaved, false};
     if (give_back) {
       counters_.given_back += static_cast<std::uint64_t>(job->waiting.size());
-      for (const auto& [first, last] : job->waiting.ranges()) {
-        for (int i = first; i < last; i++) item.range.erase(i);
-      }
+      item.range.erase(job->waiting);
       // From here on they are not ours, whatever becomes of the write: it is repeated until it is done.
       job->waiting.clear();
       job->range = item.range;
@@ -321,7 +315,7 @@
     request.demand = job->demand;
     request.assigned_share = static_cast<double>(job->placed + job->done.size()) / spec.pieces;
     request.nothing_placed = job->placed == 0 && job->done.empty() && job->lent.empty();
-    request.bonus = 0.5 * static_cast<int>(spec.urgency);
+    request.bonus = kUrgencyBonus * static_cast<int>(spec.urgency);
     if (spec.due_s) {
       request.pressure =
           deadline_pressure(job->head.submitted + *spec.due_s - wall, 1.3 * std::max(1.0, spec.guess_s));
@@ -348,14 +342,9 @@
     std::vector<std::size_t> index;
     for (std::size_t i = 0; i < jobs.size(); i++) {
       const JobSpec& spec = jobs[i]->spec();
-      if (loaner && !spec.loaner) continue;
+      if (!may_go(spec, flavour, hall, loaner)) continue;
       // Winding down or kept for large tasks, it takes only what cannot go anywhere else.
       if (choosy && type >= 0 && small_on(*jobs[i], type)) continue;
-      if (spec.hall && *spec.hall != hall) continue;
-      if (spec.flavours &&
-          std::find(spec.flavours->begin(), spec.flavours->end(), flavour) == spec.flavours->end()) {
-        continue;
-      }
       listed.push_back(requests[i]);
       listed.back().local = std::find(images.begin(), images.end(), spec.bundle) != images.end();
       index.push_back(i);
