Other nodes' bodies may be as large as a fleet's summary; sockets are kept for what must go on

Cause: the listener capped every body at 64 KiB, other nodes' included.

Also: one node may have to bear everybody's workers; requests on connections beyond the bound that max_sockets gives are turned away at once, health checks apart.

--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 #include "bookkeeping/records.hpp"
 
 namespace mothslip {
@@ -31,6 +33,14 @@
               },
               [this](const std::string& node) { return address_of(node); }}) {}
 
+std::size_t Node::most_front_connections(const Settings& settings) {
+  constexpr int kOurs = 80;  // to the state service, the cloud, other nodes; direct commands
+  return settings.max_sockets <= 0
+             ? 0
+             : static_cast<std::size_t>(std::max(settings.max_sockets / 2,
+                                                 settings.max_sockets - kOurs - settings.max_sockets / 20));
+}
+
 std::string Node::address_of(const std::string& node) const {
   for (const Member& member : settings_.members) {
     if (member.node == node) return member.address;
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -16,6 +16,14 @@
 
 class Node {
  public:
+  // Largest request bodies: of users and workers as the protocol says; of other nodes by need. (A part's
+  // summary names all its machines: over a hundred of them were more than 64 KiB, every summary was turned
+  // down unseen, and the fleet rented nothing for them.)
+  static constexpr std::size_t kFrontBody = 64 * 1024;
+  static constexpr std::size_t kBackBody = 2 * 1024 * 1024;
+  // Of the sockets, what users and workers may use: one node may have to bear everybody's.
+  static std::size_t most_front_connections(const Settings& settings);
+
   Node(Env& env, Settings settings);
   ~Node();
   Node(const Node&) = delete;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -64,12 +64,13 @@
   try {
     mothslip::EventEnv env;
     mothslip::Node node(env, settings);
-    const mothslip::HttpServer front(env.base(), settings.front, [&node](auto request, auto responder) {
-      node.on_front(std::move(request), std::move(responder));
-    });
-    const mothslip::HttpServer back(env.base(), settings.back, [&node](auto request, auto responder) {
-      node.on_back(std::move(request), std::move(responder));
-    });
+    const mothslip::HttpServer front(
+        env.base(), settings.front, mothslip::Node::kFrontBody,
+        mothslip::Node::most_front_connections(settings),
+        [&node](auto request, auto responder) { node.on_front(std::move(request), std::move(responder)); });
+    const mothslip::HttpServer back(
+        env.base(), settings.back, mothslip::Node::kBackBody, 0,
+        [&node](auto request, auto responder) { node.on_back(std::move(request), std::move(responder)); });
     spdlog::info("{} starts: front {}, back {}", settings.node, settings.front, settings.back);
     node.start();
     env.run();
--- a/src/transport/env.hpp
+++ b/src/transport/env.hpp
@@ -22,6 +22,7 @@
   std::string path;
   std::string body;
   double timeout_s = 2.0;
+  bool keep_alive = true;  // false: the connection is not worth keeping
 };
 
 using TimerId = std::uint64_t;
--- a/src/transport/event_env.cpp
+++ b/src/transport/event_env.cpp
@@ -136,6 +136,7 @@
   exchange->call = std::move(request);
   exchange->handler = std::move(handler);
   if (slot->waiting.size() >= kMaxQueuedPerPeer) {
+    exchange->pool = nullptr;
     after(0, [this, exchange] { finish(exchange, {}, false); });
     return;
   }
@@ -221,15 +222,20 @@
   if (exchange->over) return;
   exchange->over = true;
   if (exchange->deadline != 0) cancel(exchange->deadline);
-  Pool& pool = *exchange->pool;
-  if (exchange->wire) {
-    pool.busy--;
-    if (reusable && pool.idle.size() < kMaxIdlePerPeer) pool.idle.push_back(std::move(exchange->wire));
-    exchange->wire.reset();
-  }
   exchange->self.reset();
   auto handler = std::move(exchange->handler);
-  pump(pool);
+  if (Pool* pool = exchange->pool; pool != nullptr) {
+    if (exchange->wire) {
+      pool->busy--;
+      reusable = reusable && exchange->call.keep_alive && pool->idle.size() < kMaxIdlePerPeer;
+      if (reusable) pool->idle.push_back(std::move(exchange->wire));
+      exchange->wire.reset();
+    }
+    pump(*pool);
+    // Machines come and go by the thousand: nothing is kept of one that was called once.
+    if (pool->busy == 0 && pool->idle.empty() && pool->waiting.empty())
+      pools_.erase(exchange->call.destination);
+  }
   handler(std::move(reply));
 }
 
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -10,7 +10,6 @@
 namespace mothslip {
 
 namespace {
-constexpr std::size_t kMaxBody = 64 * 1024;
 constexpr std::size_t kMaxHeaders = 8 * 1024;
 constexpr int kIdleSeconds = 45;
 
@@ -32,14 +31,15 @@
 }
 }  // namespace
 
-HttpServer::HttpServer(event_base* base, const std::string& address, HttpHandler handler)
-    : http_(evhttp_new(base)), handler_(std::move(handler)) {
+HttpServer::HttpServer(event_base* base, const std::string& address, std::size_t max_body,
+                       std::size_t most_connections, HttpHandler handler)
+    : http_(evhttp_new(base)), most_connections_(most_connections), handler_(std::move(handler)) {
   const auto colon = address.rfind(':');
   if (http_ == nullptr || colon == std::string::npos)
     throw std::runtime_error("bad listen address " + address);
   evhttp_set_allowed_methods(http_, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_DELETE | EVHTTP_REQ_PUT |
                                         EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH | EVHTTP_REQ_OPTIONS);
-  evhttp_set_max_body_size(http_, kMaxBody);
+  evhttp_set_max_body_size(http_, static_cast<ev_ssize_t>(max_body));
   evhttp_set_max_headers_size(http_, kMaxHeaders);
   evhttp_set_timeout(http_, kIdleSeconds);
   evhttp_set_default_content_type(http_, "application/json");
@@ -54,13 +54,29 @@
 
 HttpServer::~HttpServer() { evhttp_free(http_); }
 
+void HttpServer::on_close(evhttp_connection* connection, void* arg) {
+  static_cast<HttpServer*>(arg)->open_.erase(connection);
+}
+
 void HttpServer::on_request(evhttp_request* request, void* arg) {
   auto* server = static_cast<HttpServer*>(arg);
+  evhttp_connection* connection = evhttp_request_get_connection(request);
+  if (connection != nullptr && server->open_.insert(connection).second)
+    evhttp_connection_set_closecb(connection, &HttpServer::on_close, server);
   HttpRequest in;
   in.method = method_name(evhttp_request_get_command(request));
   const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
   const char* path = uri == nullptr ? nullptr : evhttp_uri_get_path(uri);
   in.path = path == nullptr ? "" : path;
+  // The sockets that are left are for the state service, the other nodes and health checks.
+  if (server->most_connections_ > 0 && server->open_.size() > server->most_connections_) {
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
+    if (in.path != "/ready") {
+      evhttp_add_header(evhttp_request_get_output_headers(request), "Retry-After", "2");
+      evhttp_send_reply(request, 503, nullptr, nullptr);
+      return;
+    }
+  }
   evbuffer* body = evhttp_request_get_input_buffer(request);
   in.body.resize(evbuffer_get_length(body));
   if (!in.body.empty()) evbuffer_copyout(body, in.body.data(), in.body.size());
