A silent machine is returned after three leases, whether few or many fall silent

Cause: machines that fell silent were returned 8 s after their lease unless more than a fifth of all were silent at once. The list shows dead machines some 30 s after their death, and silent ones are counted on for nothing meanwhile: waiting costs little.

Test: LargeFleet.AZoneIsCutOffWhileMachinesHangAndDie (fails with the old rule where the share is lower).

--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -18,9 +18,8 @@
 constexpr double kSmoothFall = 40.0;  // while it falls
 constexpr double kBootLate = 1.7;     // times boot_s: no longer counted on
 constexpr double kBootLost = 3.0;     // times boot_s: returned
-constexpr double kSilentExtra =
-    8.0;                          // beyond the worker's lease: the tasks are gone, and so may be the machine
-constexpr double kTrouble = 2.0;  // the cloud is left alone this long after it failed to answer
+constexpr double kSilentLeases = 3;   // a machine that is silent for so many is returned
+constexpr double kTrouble = 2.0;      // the cloud is left alone this long after it failed to answer
 constexpr double kNoteEvery = 10.0;
 constexpr std::size_t kMaxHints = 60;
 constexpr double kSummaryGood = 5.0;  // a part's summary is believed this long
@@ -251,16 +250,9 @@
 void Fleet::judge() {
   const double now = ctx_.env->now();
   const double lease = ctx_.settings->lease_s;
-  int heard = 0;
-  int silent = 0;
-  for (const auto& [name, machine] : machines_) {
-    heard++;
-    if (machine->silent_s > lease) silent++;
-  }
-  // Several at once are more likely cut off than dead, and come back sooner than new ones boot (incident
-  // 0675).
-  const bool many = silent >= 3 && silent * 5 > heard;
-  const double patience = many ? 3 * lease : lease + kSilentExtra;
+  // Silent machines are more likely cut off or hung than dead, and come back sooner than new ones boot
+  // (incident 0675). Dead ones the list shows, and meanwhile silent ones are counted on for nothing.
+  const double patience = kSilentLeases * lease;
   const double lag = ctx_.settings->list_lag_s;
   for (auto it = rented_.begin(); it != rented_.end();) {
     const std::string& name = it->first;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -143,3 +143,71 @@
   EXPECT_GT(down, 0);
   EXPECT_LT(down, 8);  // the lease of a process before it, and some ten reads
 }
+
+// A zone's machines are cut off, a tenth of the others hang and some die for good, and copies of old messages
+// keep coming. What was only cut off is not given back, and what was lost is rented anew once, not again and
+// again.
+TEST_F(LargeFleet, AZoneIsCutOffWhileMachinesHangAndDie) {
+  Options mixed = large(3);
+  mixed.copies = 0.02;
+  mixed.state_copies = 0.02;
+  World world(mixed);
+  add_crowd(world, 300, 150);
+  std::vector<Worker*> cut;
+  int rented_before = 0;
+  world.at(60, [&world, &cut, &rented_before] {
+    rented_before = world.cloud.rented;
+    for (auto& [name, worker] : world.workers) {
+      if (worker->hall != "hall-0" || worker->dead) continue;
+      if (!worker->tasks.empty()) cut.push_back(worker.get());
+      for (int i = 0; i < world.options.nodes; i++) world.cuts.insert({name, "roost-" + std::to_string(i)});
+    }
+  });
+  world.at(75, [&world] {
+    int count = 0;
+    for (auto& [name, worker] : world.workers) {
+      if (worker->hall == "hall-0" || count++ % 10 != 0) continue;
+      worker->hung = true;
+      world.in(world.uniform(10, 30), [raw = worker.get()] { raw->unhang(); });
+    }
+  });
+  world.at(95, [&world, &cut] {
+    world.cuts.clear();
+    int kept = 0;
+    for (const Worker* worker : cut) kept += worker->dead ? 0 : 1;
+    EXPECT_GT(cut.size(), 20u);
+    EXPECT_GT(kept * 10, static_cast<int>(cut.size()) * 9)
+        << "machines that were only cut off were given back";
+  });
+  world.at(110, [&world] {
+    int count = 0;
+    for (auto& [name, worker] : world.workers) {
+      if (!worker->dead && count++ % 12 == 0) worker->dead = true;
+    }
+  });
+  world.troubles_end = 130;
+  world.run_until(330);
+  expect_kept(world);
+  EXPECT_EQ(world.orders_to_copies, 0);
+  EXPECT_LT(world.cloud.rented, 2 * rented_before) << "rented beyond need";
+}
+
+// The controller that rents machines stands still for longer than any lease while its clocks run on, then
+// another one for a while. What waited in its sockets and timers must not be carried out as if it still owned
+// anything.
+TEST_F(LargeFleet, AFrozenControllerStartsNothingWhenItWakes) {
+  World world(large(4));
+  add_crowd(world, 300, 150);
+  const auto freeze = [&world](int node, double for_s) {
+    const std::string name = "roost-" + std::to_string(node);
+    world.freeze_node(node, for_s);
+    world.isolated[name] = world.now;
+    world.in(for_s + 0.01, [&world, name] { world.isolated.erase(name); });
+  };
+  world.at(60, [&freeze] { freeze(0, 30); });
+  world.at(110, [&freeze] { freeze(2, 9); });
+  world.at(114, [&world] { world.crash_node(3, 0.1); });
+  world.troubles_end = 125;
+  world.run_until(330);
+  expect_kept(world);
+}
