--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -393,6 +393,28 @@
   expect_kept(world);
 }
 
+// Machines lose power and are back within a fraction of a second, without anything that ran on them; some
+// have forgotten which session they were in, and count their reports from one again. Nothing is taken for
+// still running, and nothing is started twice.
+TEST_P(Cluster, MachinesAreBackWithinAFractionOfASecond) {
+  World world(options());
+  add_jobs(world, 2, 120);
+  int reboots = 0;
+  for (double t = 20; t < 160; t += world.uniform(3, 9)) {
+    world.at(t, [&world, &reboots] {
+      Worker* worker = some_worker(world);
+      if (worker == nullptr) return;
+      worker->reboot(world.rng() % 2 == 0);
+      reboots++;
+      if (world.rng() % 4 == 0) world.crash_node(some_node(world), 0.1);
+    });
+  }
+  world.troubles_end = 180;
+  world.run_until(600);
+  expect_kept(world);
+  EXPECT_GT(reboots, 15);
+}
+
 // A few large jobs among a steady stream of small ones and a burst of another class; only few machines hold
 // their tasks, and a team's limit is split into shares smaller than one task. They start within four minutes
 // all the same.
