--- a/src/coordination/part.cpp
+++ b/src/coordination/part.cpp
@@ -462,8 +462,8 @@
                  }));
 }
 
-// Shows our token to machines with placements, a few at a time: hundreds of connections at once kept a node
-// that had taken over too busy to answer. Those that report go first; silent ones are tried now and then.
+// Shows our token to machines with placements, a few at a time: a node that has taken over has leases to
+// renew and users to answer meanwhile. Machines that report go first; silent ones are tried now and then.
 void Part::raise_batons() {
   if (!active_ || raising_ >= kRaiseAtOnce) return;
   const double now = ctx_.env->now();
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -61,8 +61,10 @@
 void HttpServer::on_request(evhttp_request* request, void* arg) {
   auto* server = static_cast<HttpServer*>(arg);
   evhttp_connection* connection = evhttp_request_get_connection(request);
-  if (connection != nullptr && server->open_.insert(connection).second)
+  if (connection != nullptr) {
+    server->open_.insert(connection);
     evhttp_connection_set_closecb(connection, &HttpServer::on_close, server);
+  }
   HttpRequest in;
   in.method = method_name(evhttp_request_get_command(request));
   const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -54,8 +54,8 @@
 
 }  // namespace
 
-// The summary of a part with some hundred machines is larger than what users may send. Turned down at the
-// door, it left the fleet without any word of that part.
+// The summary of a part with some four hundred machines is larger than what users may send. Turned down at
+// the door, it would leave the fleet without any word of that part.
 TEST_F(Loopback, WhatNodesTellEachOtherMayBeLargerThanWhatUsersSend) {
   std::size_t seen = 0;
   listen(Node::kBackBody, 0, [&seen](const HttpRequest& request, const Responder& responder) {
