--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -85,12 +85,22 @@
 }  // namespace
 
 TEST_F(LargeFleet, QuietDay) {
+  constexpr double kDay = 260;
   World world(large(1));
   add_crowd(world, 400, 150);
-  world.run_until(260);
+  world.run_until(kDay);
   expect_kept(world);
+  // What is sent does not grow with the fleet or the queue, but with time, nodes and starts.
+  const double nodes = world.options.nodes;
+  EXPECT_LT(world.counts["/peer/summary"], 1.1 * kDay * nodes);
+  EXPECT_LT(world.counts["/peer/beat"], 1.1 * kDay / 2 * nodes * (nodes - 1));
+  EXPECT_LT(world.counts["/peer/borrow"], 1.1 * kDay / 0.4 * nodes);
+  EXPECT_LT(world.state.changes_made, world.starts) << "a change covers several starts";
+  EXPECT_LT(world.counts["state request"], kDay * world.options.state_rps / 2);
+  EXPECT_LT(world.counts["command"], world.starts / 4) << "launches ride in answers, commands only stop";
   if (std::getenv("SIM_SIZES") != nullptr) {
-    for (const auto& [kind, bytes] : world.largest) std::cout << kind << ": " << bytes << "\n";
+    for (const auto& [kind, bytes] : world.largest)
+      std::cout << kind << ": " << world.counts[kind] << ", at most " << bytes << " bytes\n";
     std::cout << world.workers.size() << " machines, " << world.starts << " starts, "
               << world.state.changes_made << " changes, " << world.state.too_many << " too many\n";
   }
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -670,6 +670,7 @@
 }
 
 void World::note_size(const std::string& kind, std::size_t bytes, std::size_t limit) {
+  counts[kind]++;
   std::size_t& most = largest[kind];
   most = std::max(most, bytes);
   if (bytes > limit) broken("too large: " + kind + " of " + std::to_string(bytes) + " bytes");
@@ -763,7 +764,11 @@
     Node* node = nodes[static_cast<std::size_t>(i)].node.get();
     if (node == nullptr) return;  // refused: the same as silence here
     // What the node's listener would refuse.
-    note_size(front ? "request" : call.path, call.body.size(), front ? Node::kFrontBody : Node::kBackBody);
+    const bool peer = call.path.rfind("/peer/", 0) == 0;
+    note_size(front  ? "request"
+              : peer ? call.path
+                     : "forwarded",
+              call.body.size(), front ? Node::kFrontBody : Node::kBackBody);
     const HttpRequest request{call.method, call.path, call.body};
     const Responder responder([this, reply, from, call, copy, front, i](const HttpAnswer& out) {
       if (front) note_size("answer", out.body.size(), kBody);
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -278,6 +278,7 @@
   };
   std::vector<Process> nodes;
   std::map<std::string, std::size_t> largest;  // message seen: by kind, bytes
+  std::map<std::string, int> counts;           // messages: by kind
 
  private:
   friend class NodeEnv;
