--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -86,10 +86,14 @@
 
 TEST_F(LargeFleet, QuietDay) {
   constexpr double kDay = 260;
-  World world(large(1));
-  add_crowd(world, 400, 150);
+  Options most = large(1);
+  most.market = 2 * kMarket;
+  most.team_max = 14000;
+  World world(most);
+  add_crowd(world, 800, 100);
   world.run_until(kDay);
   expect_kept(world);
+  EXPECT_GT(world.cloud.rented, 2000);
   // What is sent does not grow with the fleet or the queue, but with time, nodes and starts.
   const double nodes = world.options.nodes;
   EXPECT_LT(world.counts["/peer/summary"], 1.1 * kDay * nodes);
