Simulated cluster: hangs, cuts, node names and the log level have one place each; a counter nobody read goes

Found in the reread: the same loops for hanging and cutting off machines stood in two test files, the level of the log in three, the nodes' names in three; the cloud counted machines returned alive and no test asked; what a frozen node holds was checked again though it goes with its process; a node's number was read out of its name at every timer. No test expects less.

--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,8 +1,7 @@
-// The simulated cluster at the size of a large fleet: five nodes, two thousand machines and a crowd of jobs,
-// when many things fall together. No rule may break, no message may be larger than its receiver takes, and
-// the work must get done.
+// The simulated cluster at the size of a large fleet: five nodes, one to two thousand machines and a crowd of
+// jobs, when many things fall together. No rule may break, no message may be larger than its receiver takes,
+// and the work must get done.
 #include <gtest/gtest.h>
-#include <spdlog/spdlog.h>
 
 #include <cstdlib>
 #include <iostream>
@@ -38,7 +37,7 @@
   return out;
 }
 
-// Jobs that together need some eight thousand cores, most of them early.
+// Jobs of three sizes, a third of them in the first seconds.
 void add_crowd(World& world, int jobs, double until) {
   for (int i = 0; i < jobs; i++) {
     UserJob job;
@@ -77,9 +76,7 @@
 
 class LargeFleet : public ::testing::Test {
  protected:
-  void SetUp() override {
-    spdlog::set_level(std::getenv("SIM_LOG") != nullptr ? spdlog::level::info : spdlog::level::off);
-  }
+  void SetUp() override { set_up_log(); }
 };
 
 }  // namespace
@@ -145,8 +142,7 @@
     int count = 0;
     for (auto& [name, worker] : world.workers) {
       if (count++ % 10 != 0) continue;
-      worker->hung = true;
-      world.in(world.uniform(10, 40), [raw = worker.get()] { raw->unhang(); });
+      world.hang(*worker, world.uniform(10, 40));
     }
   });
   world.at(100, [&restart_all] { restart_all(6); });
@@ -175,15 +171,14 @@
     for (auto& [name, worker] : world.workers) {
       if (worker->hall != "hall-0" || worker->dead || count++ % 3 == 0) continue;  // some 15 % of all
       if (!worker->tasks.empty()) cut.push_back(worker.get());
-      for (int i = 0; i < world.options.nodes; i++) world.cuts.insert({name, "roost-" + std::to_string(i)});
+      world.cut_off(name);
     }
   });
   world.at(75, [&world] {
     int count = 0;
     for (auto& [name, worker] : world.workers) {
       if (worker->hall == "hall-0" || count++ % 10 != 0) continue;
-      worker->hung = true;
-      world.in(world.uniform(10, 30), [raw = worker.get()] { raw->unhang(); });
+      world.hang(*worker, world.uniform(10, 30));
     }
   });
   world.at(95, [&world, &cut] {
@@ -214,7 +209,7 @@
   World world(large(4));
   add_crowd(world, 300, 150);
   const auto freeze = [&world](int node, double for_s) {
-    const std::string name = "roost-" + std::to_string(node);
+    const std::string name = node_name(node);
     world.freeze_node(node, for_s);
     world.isolated[name] = world.now;
     world.in(for_s + 0.01, [&world, name] { world.isolated.erase(name); });
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -1,6 +1,9 @@
 #include "sim/world.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
+#include <cstdlib>
 #include <sstream>
 
 #include "bookkeeping/records.hpp"
@@ -15,17 +18,16 @@
 
 std::string front_of(int node) { return "10.0.0." + std::to_string(node + 1) + ":8080"; }
 std::string back_of(int node) { return "10.0.0." + std::to_string(node + 1) + ":8081"; }
-std::string name_of(int node) { return "roost-" + std::to_string(node); }
 
 Settings settings_for(int node, const Options& options) {
   const int nodes = options.nodes;
   Settings out;
-  out.node = name_of(node);
+  out.node = node_name(node);
   out.area = "a";
   out.front = front_of(node);
   out.back = back_of(node);
   for (int i = 0; i < nodes; i++) {
-    if (i != node) out.members.push_back({name_of(i), "a", back_of(i)});
+    if (i != node) out.members.push_back({node_name(i), "a", back_of(i)});
   }
   out.cloud = kCloud;
   out.state = kState;
@@ -58,35 +60,38 @@
 bool starts_with(const std::string& text, const std::string& prefix) { return text.rfind(prefix, 0) == 0; }
 }  // namespace
 
+std::string node_name(int index) { return "roost-" + std::to_string(index); }
+
+void set_up_log() {
+  spdlog::set_level(std::getenv("SIM_LOG") != nullptr ? spdlog::level::info : spdlog::level::off);
+}
+
 // ---------------------------------------------------------------- a node's environment
 
-NodeEnv::NodeEnv(World& world, std::string node, double drift, double skew)
-    : world_(world), node_(std::move(node)), drift_(drift), skew_(skew) {}
+NodeEnv::NodeEnv(World& world, int index, double drift, double skew)
+    : world_(world), index_(index), drift_(drift), skew_(skew) {}
 double NodeEnv::now() const { return 1000 + world_.now * drift_; }
 double NodeEnv::wall() const { return 1.7e9 + world_.now + skew_; }
 std::uint64_t NodeEnv::random() { return world_.rng(); }
-int NodeEnv::index() const { return std::stoi(node_.substr(node_.rfind('-') + 1)); }
 
 TimerId NodeEnv::after(double delay_s, std::function<void()> action) {
   const TimerId id = next_++;
   world_.in(std::max(0.0, delay_s) / drift_,
             [this, id, token = std::weak_ptr<bool>(alive_), action = std::move(action)]() mutable {
               if (token.expired()) return;
-              world_.on_node(index(), [this, id, token, action = std::move(action)] {
-                if (token.expired() || cancelled_.erase(id) > 0) return;
-                action();
+              world_.on_node(index_, [this, id, action = std::move(action)] {
+                if (cancelled_.erase(id) == 0) action();
               });
             });
   return id;
 }
 
 void NodeEnv::call(HttpCall request, ReplyHandler handler) {
-  world_.send(node_, request,
+  world_.send(node_name(index_), request,
               [this, token = std::weak_ptr<bool>(alive_), handler = std::move(handler)](HttpReply reply) {
                 if (token.expired()) return;
-                world_.on_node(index(), [token, handler, reply = std::move(reply)] {
-                  if (!token.expired()) handler(reply);
-                });
+                // (What a frozen node holds goes with its process.)
+                world_.on_node(index_, [handler, reply = std::move(reply)] { handler(reply); });
               });
 }
 
@@ -302,10 +307,7 @@
     if (json["hosts"].size() > 100) world_.broken("more than 100 machines returned in one call");
     for (const Json& host : json["hosts"]) {
       const auto it = world_.workers.find(host);
-      if (it != world_.workers.end()) {
-        returned_alive += it->second->dead || it->second->sick ? 0 : 1;
-        it->second->dead = true;
-      }
+      if (it != world_.workers.end()) it->second->dead = true;
       const auto row = rows_.find(host);
       if (row != rows_.end()) row->second.gone = std::min(row->second.gone, world_.now);
     }
@@ -387,7 +389,7 @@
 
 void Worker::boot() {
   if (dead) return;
-  node_ = name_of(static_cast<int>(world_.rng() % static_cast<std::uint64_t>(world_.options.nodes)));
+  node_ = node_name(static_cast<int>(world_.rng() % static_cast<std::uint64_t>(world_.options.nodes)));
   last_answered_sent_ = now();
   step();
 }
@@ -479,7 +481,7 @@
   world_.in(4.05, [this, flight] {
     if (dead || hung || flight != flight_ || !in_flight_ || !(deaf || muffled)) return;
     in_flight_ = false;
-    node_ = name_of((node_.back() - '0' + 1) % world_.options.nodes);
+    node_ = node_name((node_.back() - '0' + 1) % world_.options.nodes);
     next_report_ = now() + 1;
   });
   world_.send(name, call, [this, flight, sent, tenure, index](const HttpReply& reply) {
@@ -507,7 +509,7 @@
         node_ = parent;
         next_report_ = now() + world_.uniform(0, 0.5);
       } else {
-        node_ = name_of((index + 1) % nodes);
+        node_ = node_name((index + 1) % nodes);
         next_report_ = now() + 1;
       }
     };
@@ -632,7 +634,7 @@
 void World::start_node(int index) {
   Process& process = nodes[static_cast<std::size_t>(index)];
   process.settings = settings_for(index, options);
-  process.env = std::make_unique<NodeEnv>(*this, name_of(index), uniform(0.9996, 1.0004), uniform(-0.1, 0.1));
+  process.env = std::make_unique<NodeEnv>(*this, index, uniform(0.9996, 1.0004), uniform(-0.1, 0.1));
   process.node = std::make_unique<Node>(*process.env, process.settings);
   process.node->start();
 }
@@ -669,6 +671,15 @@
   });
 }
 
+void World::hang(Worker& worker, double for_s) {
+  worker.hung = true;
+  in(for_s, [&worker] { worker.unhang(); });
+}
+
+void World::cut_off(const std::string& machine) {
+  for (int i = 0; i < options.nodes; i++) cuts.insert({machine, node_name(i)});
+}
+
 void World::note_size(const std::string& kind, std::size_t bytes, std::size_t limit) {
   counts[kind]++;
   std::size_t& most = largest[kind];
@@ -697,7 +708,7 @@
   if (uniform(0, 1) < options.loss) return;  // the request is lost
   std::string to = call.destination;
   for (int i = 0; i < options.nodes; i++) {
-    if (to == front_of(i) || to == back_of(i)) to = name_of(i);
+    if (to == front_of(i) || to == back_of(i)) to = node_name(i);
   }
   const auto host = by_address.find(call.destination);
   if (host != by_address.end()) to = host->second->name;
@@ -772,16 +783,14 @@
     const HttpRequest request{call.method, call.path, call.body};
     const Responder responder([this, reply, from, call, copy, front, i](const HttpAnswer& out) {
       if (front) note_size("answer", out.body.size(), kBody);
-      watch_answer(from, name_of(i), call, out, copy);
+      watch_answer(from, node_name(i), call, out, copy);
       reply({out.status, out.body});
     });
-    on_node(i, [this, i, front, request, responder] {
-      Node* alive = nodes[static_cast<std::size_t>(i)].node.get();
-      if (alive == nullptr) return;
+    on_node(i, [node, front, request, responder] {
       if (front) {
-        alive->on_front(request, responder);
+        node->on_front(request, responder);
       } else {
-        alive->on_back(request, responder);
+        node->on_back(request, responder);
       }
     });
     return;
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -20,10 +20,14 @@
 
 class World;
 
+std::string node_name(int index);
+// Simulated days are silent unless SIM_LOG is set.
+void set_up_log();
+
 // What a node sees of the world. It dies with its process: late timers and replies find nothing.
 class NodeEnv final : public Env {
  public:
-  NodeEnv(World& world, std::string node, double drift, double skew);
+  NodeEnv(World& world, int index, double drift, double skew);
   [[nodiscard]] double now() const override;
   [[nodiscard]] double wall() const override;
   std::uint64_t random() override;
@@ -32,9 +36,8 @@
   void call(HttpCall request, ReplyHandler handler) override;
 
  private:
-  [[nodiscard]] int index() const;
   World& world_;
-  std::string node_;
+  int index_;
   double drift_;
   double skew_;
   TimerId next_ = 1;
@@ -161,7 +164,6 @@
   bool outage = false;
   double fail_share = 0;  // machines that never come up
   int rented = 0;
-  int returned_alive = 0;  // returned while they were up and not sick
 
  private:
   World& world_;
@@ -233,6 +235,9 @@
   void crash_node(int index, double back_after);
   // Stands still: nothing is received or sent, no timer fires; its clocks run on.
   void freeze_node(int index, double for_s);
+  void hang(Worker& worker, double for_s);
+  // No node reaches the machine, nor it any of them.
+  void cut_off(const std::string& machine);
   // Sends a message over the simulated network. Exactly one reply; {0} is silence.
   void send(const std::string& from, const HttpCall& call, std::function<void(HttpReply)> reply);
   void submit(UserJob job);
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -1,7 +1,6 @@
 // Whole nodes in a simulated cluster, under failures: no rule of the protocol may break, and when the
 // failures are over every accepted job must end.
 #include <gtest/gtest.h>
-#include <spdlog/spdlog.h>
 
 #include "bookkeeping/records.hpp"
 #include "sim/checks.hpp"
@@ -47,7 +46,6 @@
 int some_node(World& world) {
   return static_cast<int>(world.rng() % static_cast<std::uint64_t>(world.options.nodes));
 }
-std::string node_name(int node) { return "roost-" + std::to_string(node); }
 
 void add_jobs(World& world, double from, double to) {
   for (int i = 0; i < world.options.jobs; i++) world.submit(make_job(world, i, from, to));
@@ -63,9 +61,7 @@
 
 class Cluster : public ::testing::TestWithParam<int> {
  protected:
-  void SetUp() override {
-    spdlog::set_level(std::getenv("SIM_LOG") != nullptr ? spdlog::level::info : spdlog::level::off);
-  }
+  void SetUp() override { set_up_log(); }
   Options options() const {
     Options out;
     out.seed = static_cast<std::uint64_t>(GetParam());
@@ -143,14 +139,13 @@
           worker->dead = true;
           break;
         case 1:
-          worker->hung = true;
-          world.in(world.uniform(2, 40), [worker] { worker->unhang(); });
+          world.hang(*worker, world.uniform(2, 40));
           break;
         case 2:
           worker->sick = true;
           break;
         default:
-          for (int i = 0; i < world.options.nodes; i++) world.cuts.insert({name, node_name(i)});
+          world.cut_off(name);
           world.in(world.uniform(5, 40), [&world, name] {
             for (int i = 0; i < world.options.nodes; i++) world.cuts.erase({name, node_name(i)});
           });
@@ -200,8 +195,7 @@
           break;
         default:
           if (worker != nullptr) {
-            worker->hung = true;
-            world.in(world.uniform(2, 30), [worker] { worker->unhang(); });
+            world.hang(*worker, world.uniform(2, 30));
           }
       }
     });
@@ -260,7 +254,7 @@
     for (auto& [name, worker] : world.workers) {
       if (away.size() >= 4 || worker->dead || worker->tasks.empty()) continue;
       away.push_back(worker.get());
-      for (int i = 0; i < world.options.nodes; i++) world.cuts.insert({name, node_name(i)});
+      world.cut_off(name);
     }
   });
   world.at(74, [&world, &away] {
@@ -322,8 +316,7 @@
           break;
         default:
           if (worker == nullptr) break;
-          worker->hung = true;
-          world.in(world.uniform(2, 30), [worker] { worker->unhang(); });
+          world.hang(*worker, world.uniform(2, 30));
       }
     });
   }
@@ -473,7 +466,7 @@
 
 // A job of the largest size stays within the limits of values and transactions (the stand-in checks them).
 TEST(Sim, AHundredThousandTasks) {
-  spdlog::set_level(spdlog::level::off);
+  set_up_log();
   World world(Options{});
   UserJob job = make_job(world, 1, 2, 3);
   job.pieces = 100000;
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -1,7 +1,6 @@
 // Plays the kept traces: messages to one controller, and the decisions expected of it. tests/traces/README.md
 // describes the form.
 #include <gtest/gtest.h>
-#include <spdlog/spdlog.h>
 
 #include <filesystem>
 #include <fstream>
@@ -26,7 +25,7 @@
 class Player {
  public:
   Player() : world_(one_node()) {
-    spdlog::set_level(std::getenv("SIM_LOG") != nullptr ? spdlog::level::info : spdlog::level::off);
+    set_up_log();
     world_.outside = [this](const HttpCall& call) {
       const Json body = parse_json(call.body);
       said_.push_back("~ " + call.destination.substr(0, call.destination.find(':')) + " " + orders(body));
