--- a/src/coordination/front.cpp
+++ b/src/coordination/front.cpp
@@ -89,6 +89,7 @@
 // A known job is answered with its state whatever the repeat's body says; only then is a refusal right.
 void Front::refuse(const std::string& ref, int status, const std::string& why, Responder responder) {
   const std::string body = dump_json({{"error", why}});
+  spdlog::info("submission of {} refused with {}: {}", ref, status, why);
   if (!valid_ref(ref)) {
     responder.send(status, body);
     return;
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -89,6 +89,10 @@
   std::string at_;
 };
 
+// (A guest team has neither guarantee nor limit, both 0. Taken for a limit of nothing, all its jobs were refused
+// with 422.)
+double limit_or_unlimited(double limit) { return limit > 0 ? limit : kUnlimited; }
+
 std::string read_file(const std::string& file) {
   std::ifstream in(file, std::ios::binary);
   if (!in) throw SettingsError(file + ": cannot be read");
@@ -133,9 +137,9 @@
     Team team;
     team.name = item.text("name");
     team.cpus = item.number_or("cpus", 0, 0);
-    team.cpus_max = item.number("cpus_max", 0);
+    team.cpus_max = limit_or_unlimited(item.number("cpus_max", 0));
     team.gpus = item.number_or("gpus", 0, 0);
-    team.gpus_max = item.number_or("gpus_max", 0, 0);
+    team.gpus_max = limit_or_unlimited(item.number_or("gpus_max", 0, 0));
     out.teams.push_back(team);
   }
   for (const Reader& item : settings.tables("objectives")) {
--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -13,10 +13,13 @@
   std::string address;  // its `back` listener
 };
 
+// A limit that is 0 in the settings file means that there is none: parsed, it is this much.
+inline constexpr double kUnlimited = 1e9;
+
 struct Team {
   std::string name;
-  double cpus = 0;
-  double cpus_max = 0;
+  double cpus = 0;      // guaranteed; 0: nothing is
+  double cpus_max = 0;  // at no time may its tasks use more
   double gpus = 0;
   double gpus_max = 0;
 };
