Best-effort work gives way: placed where nothing else wants the room, preempted for what waits

Change: best-effort tasks start only on machines that no other work wanted for 8 s, on spot machines where they may, long small ones packed together; other work that waits has them stopped, checkpoints saved first; four stops a task at the most. The fleet rents spot machines for them after 120 s only and keeps no headroom for them.

--- a/src/bookkeeping/ledger.hpp
+++ b/src/bookkeeping/ledger.hpp
@@ -26,6 +26,11 @@
   [[nodiscard]] bool complete() const { return done.size() == range.size(); }
 };
 
+// How long a task that is stopped, but not cancelled, has to save what it has done.
+inline double stop_grace_s(const JobSpec& spec) {
+  return spec.snapshot_every_s > 0 ? spec.snapshot_cost_s + 1 : 0;
+}
+
 // A job at its home part, or a block of one that this part has borrowed.
 struct Job {
   HeadRecord head;
@@ -50,6 +55,7 @@
   bool progress_inflight = false;
 
   int placed = 0;
+  std::map<int, int> stops;  // by task: how often it was stopped for other work
   std::map<int, int> placed_by_hall;
   bool finishing = false;   // the ending is on its way to the state service
   bool cancelling = false;  // the cancellation is on its way
@@ -127,6 +133,7 @@
   PiecePhase phase = PiecePhase::kPulling;
   double running_since = 0;
   double requeue_delay = 0;
+  bool preempted = false;  // being stopped for other work
 };
 
 // A page of the part's journal (records.hpp).
@@ -175,7 +182,9 @@
 
   Responder answer;  // a report waits for a commit
   double answer_by = 0;
-  bool held = false;  // nothing is placed there: its report waits for work
+  double wanted_at = 0;        // last time that work other than best-effort wanted it, or was given it
+  double held_back_since = 0;  // its room is kept from best-effort work since, for other parts; 0: is not
+  bool held = false;           // nothing is placed there: its report waits for work
   bool direct_inflight = false;
   bool stops_due = false;  // a job was called off while a direct command was under way
   double raise_tried = 0;  // last time a direct command showed it our token
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -27,6 +27,7 @@
 constexpr double kSilentPart = 20.0;
 constexpr std::size_t kReturnShare = 30;  // one in so many machines may go back a step
 constexpr int kRentCalls = 24;
+constexpr double kBestEffortStart = 120.0;  // machines are rented for best-effort work that waits longer
 constexpr double kAskedFor = 10.0;  // a rental without an answer is counted on this long
 }  // namespace
 
@@ -227,13 +228,28 @@
       if (other == part || ctx_.env->now() - each.at > kSummaryGood) continue;
       for (const DemandSummary& demand : each.summary.demands) {
         if (demand.starving != starving || orders.waiting.size() >= kMaxHints) continue;
-        orders.waiting.push_back({demand.demand, demand.urgency, demand.loaner, starving});
+        // Best-effort work waits for what others leave: nothing is kept for it, unless it starves.
+        const bool best_effort = demand.urgency == 0;
+        if (best_effort && !starving) continue;
+        orders.waiting.push_back(
+            {demand.demand, demand.urgency, demand.loaner, starving, !best_effort && within_limit(demand)});
       }
     }
   }
   return orders;
 }
 
+// One more task of it would be within its team's limit.
+bool Fleet::within_limit(const DemandSummary& demand) const {
+  if (demand.team < 0 || demand.team >= static_cast<int>(ctx_.settings->teams.size())) return false;
+  double used = demand.demand[0];
+  for (const auto& [part, told] : summaries_) {
+    const auto it = told.summary.used_by_team.find(demand.team);
+    if (it != told.summary.used_by_team.end()) used += it->second;
+  }
+  return used <= ctx_.settings->teams[static_cast<std::size_t>(demand.team)].cpus_max;
+}
+
 // Machines that nobody here remembers asking for report like any other; they are used, or returned.
 void Fleet::note_reporting(const PartSummary& summary) {
   for (const MachineSummary& machine : summary.machines) {
@@ -365,6 +381,10 @@
     const auto wish = start_wish_.find(wanted->workload);
     demand.start_within_s = wish != start_wish_.end() ? wish->second : guarantee_wish_;
     demand.spot_allowed = wanted->loaner;
+    if (wanted->urgency == 0) {
+      demand.start_within_s = std::max(demand.start_within_s, kBestEffortStart);
+      demand.spot_only = wanted->loaner;
+    }
     if (!wanted->flavours.empty()) {
       demand.types.assign(ctx_.types->all().size(), 0);
       for (const std::string& flavour : wanted->flavours) {
@@ -520,7 +540,8 @@
   winding_.clear();
   double waiting = 0;
   for (const auto& [part, told] : summaries_) {
-    for (const DemandSummary& demand : told.summary.demands) waiting += demand.count * demand.demand[0];
+    for (const DemandSummary& demand : told.summary.demands)
+      waiting += demand.urgency > 0 ? demand.count * demand.demand[0] : 0;
   }
   std::vector<std::pair<double, std::size_t>> ordinary;
   double free = 0;
--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -76,6 +76,7 @@
   void note_reporting(const PartSummary& summary);
   [[nodiscard]] bool knows_all_of(const std::string& host) const;
   [[nodiscard]] bool heard_of(const std::string& host) const;
+  [[nodiscard]] bool within_limit(const DemandSummary& demand) const;
   void judge();
   void plan();
   void wind_down(const std::vector<std::string>& names, const std::vector<FleetMachine>& machines,
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -432,11 +432,11 @@
     const auto& c = part->counters();
     spdlog::info(
         "part {}: reports {}, launches {}, fetches {}, again {}, done {}, lent {}, borrowed {}, back {}, "
-        "errors {}, freed by lease {} "
+        "errors {}, preempted {}, freed by lease {} "
         "session {} return "
         "{}; journal writes {} with {} changes, blocks {}, allowance moves {}, endings {}",
         index, c.reports, c.launches, c.fetches, c.relaunches, c.completions, c.lent, c.borrowed,
-        c.given_back, c.errors, c.freed_by_lease, c.freed_by_tenure, c.freed_by_return, c.pages,
+        c.given_back, c.errors, c.preempted, c.freed_by_lease, c.freed_by_tenure, c.freed_by_return, c.pages,
         c.page_changes, c.blocks, c.moves, c.endings);
   }
   env_.after(kCountersEvery, [this] { log_counters(); });
--- a/src/coordination/part.cpp
+++ b/src/coordination/part.cpp
@@ -254,8 +254,8 @@
       // (a) missing, and no launch of it can still be on its way.
       const bool settled =
           direct ? placement.inherited && placement.sent_tick == 0 : placement.sent_tick < report.tick;
-      if (settled && (placement.job->over() || placement.job->cancelling || !machine.welcome() ||
-                      placement.job->done.contains(placement.index))) {
+      if (settled && (placement.job->over() || placement.job->cancelling || placement.preempted ||
+                      !machine.welcome() || placement.job->done.contains(placement.index))) {
         free_placement(placement, 0);
       }
     }
@@ -541,15 +541,20 @@
   }
 }
 
-// For all on it that is called off; once the direct command that is under way is over.
+// For all on it that is called off or preempted; once the direct command that is under way is over.
 void Part::send_stops(Machine& machine) {
   machine.stops_due = machine.direct_inflight;
   if (machine.direct_inflight) return;
   std::vector<Order> orders;
   for (const Placement& placement : machine.placements) {
     const Job& job = *placement.job;
-    if (!job.called_off() || placement.stage != Placement::Stage::kRecorded) continue;
-    orders.push_back({Order::Verb::kStop, piece_name(job.spec().ref, placement.index), placement.try_no, 0});
+    if (placement.stage != Placement::Stage::kRecorded) continue;
+    const std::string piece = piece_name(job.spec().ref, placement.index);
+    if (job.called_off()) {
+      orders.push_back({Order::Verb::kStop, piece, placement.try_no, 0});
+    } else if (placement.preempted && placement.phase != PiecePhase::kSaving) {
+      orders.push_back({Order::Verb::kStop, piece, placement.try_no, stop_grace_s(job.spec())});
+    }
   }
   if (!orders.empty()) send_direct(machine, orders);
 }
@@ -601,6 +606,7 @@
     }
   }
   raise_batons();
+  preempt();
   pump();
   press_cancels();
   if (ctx_.parts > 1) {
--- a/src/coordination/part.hpp
+++ b/src/coordination/part.hpp
@@ -22,6 +22,7 @@
 #include "coordination/state_client.hpp"
 #include "coordination/summary.hpp"
 #include "protocol/names.hpp"
+#include "scheduling/preemption.hpp"
 
 namespace mothslip {
 
@@ -80,7 +81,7 @@
   struct Counters {
     std::uint64_t reports = 0, launches = 0, completions = 0, fetches = 0, lent = 0, borrowed = 0,
                   given_back = 0, errors = 0, freed_by_lease = 0, freed_by_tenure = 0, freed_by_return = 0,
-                  relaunches = 0, pages = 0, page_changes = 0, blocks = 0, moves = 0, endings = 0;
+                  relaunches = 0, preempted = 0, pages = 0, page_changes = 0, blocks = 0, moves = 0, endings = 0;
   };
   [[nodiscard]] const Counters& counters() const { return counters_; }
 
@@ -143,6 +144,11 @@
   void drop_placement(Machine& machine, std::size_t at);
   void requeue(const JobPtr& job, int index, double delay);
   void fill(Machine& machine);
+  struct Candidates {
+    std::vector<Request> requests;
+    std::vector<JobPtr> jobs;
+  };
+  void place_greedily(Machine& machine, Candidates candidates);
   [[nodiscard]] bool starving(const Job& job) const;
   [[nodiscard]] std::map<int, const Job*> saving() const;
   [[nodiscard]] static double age_bonus(const Job& job, double wall);
@@ -151,6 +157,20 @@
   [[nodiscard]] bool needs_type(double least, int type) const;
   [[nodiscard]] bool small_on(const Job& job, int type) const;
   void wake();
+
+  // part_preempt.cpp
+  struct Yieldable {
+    Resources room{};  // free, or free soon
+    std::vector<PreemptionCandidate> candidates;
+  };
+  [[nodiscard]] bool gives_way(const Job& job) const;
+  [[nodiscard]] bool wants_room(const Job& job) const;
+  [[nodiscard]] bool wanted_by_others(Machine& machine) const;
+  [[nodiscard]] bool quiet(Machine& machine) const;
+  [[nodiscard]] bool open_to_best_effort(const Job& job, const Machine& machine, bool quiet) const;
+  [[nodiscard]] Yieldable yieldable(const Machine& machine) const;
+  void preempt_for(const Job& job, int count, std::map<Machine*, Yieldable>& machines, std::size_t& stops_left);
+  void preempt();
   // A machine's room counts while its last report is no older. (An idle one's reports are held.)
   [[nodiscard]] double fresh_s() const { return 2 * ctx_.settings->report_s + 2; }
   [[nodiscard]] static bool may_go(const JobSpec& spec, const std::string& flavour, const std::string& hall,
--- a/src/coordination/part_fill.cpp
+++ b/src/coordination/part_fill.cpp
@@ -83,7 +83,7 @@
   int large_urgency = -1;
   bool large_starves = false;
   for (const auto& [ref, job] : jobs_) {
-    if (job->waiting.empty() || job->over()) continue;
+    if (job->waiting.empty() || job->over() || gives_way(*job)) continue;
     const int urgency = static_cast<int>(job->spec().urgency);
     if (needs_type(job->least_cores, machine.type)) {
       if (!fits(job->demand, machine.capacity) || !allowed_on(*job, machine)) continue;
@@ -161,8 +161,9 @@
   if (!fits({0.01, 0, 0}, machine.room)) return;
   const bool keep_for_large = keeps_for_large(machine);
   const std::map<int, const Job*> saved_for = saving();
-  std::vector<Request> requests;
-  std::vector<JobPtr> jobs;
+  const bool room_for_best_effort = quiet(machine);
+  Candidates first;
+  Candidates best_effort;  // placed in what the others leave
   const double wall = ctx_.env->wall();
   const MachineType& type = ctx_.types->at(machine.type);
   for (const auto& [ref, job] : jobs_) {
@@ -181,6 +182,8 @@
     if (machine.winding && small_on(*job, machine.type)) continue;
     if (static_cast<double>(job->done.range_count()) * kBytesPerRange > value_bytes_) continue;
     if (keep_for_large && small_on(*job, machine.type)) continue;
+    const bool yields = gives_way(*job);
+    if (yields && !open_to_best_effort(*job, machine, room_for_best_effort)) continue;
     Request request;
     request.demand = job->demand;
     request.local = machine.has_image(job->bundle);
@@ -189,9 +192,20 @@
       request.pressure = deadline_pressure(job->head.submitted + *spec.due_s - wall,
                                            1.3 * std::max(1.0, spec.guess_s) + fetch);
     }
-    requests.push_back(request);
-    jobs.push_back(job);
+    Candidates& candidates = yields ? best_effort : first;
+    candidates.requests.push_back(request);
+    candidates.jobs.push_back(job);
   }
+  place_greedily(machine, std::move(first));
+  place_greedily(machine, std::move(best_effort));
+}
+
+// Takes one task of the job with the highest preference, and scores again, until nothing fits.
+void Part::place_greedily(Machine& machine, Candidates candidates) {
+  auto& [requests, jobs] = candidates;
+  const double now = ctx_.env->now();
+  const double wall = ctx_.env->wall();
+  const MachineType& type = ctx_.types->at(machine.type);
   while (!requests.empty()) {
     for (std::size_t i = 0; i < requests.size();) {
       const Job& job = *jobs[i];
@@ -228,6 +242,7 @@
       machine.use_image(job->bundle, job->spec().pull_gb, type.cache_gb);
     }
     machine.placements.push_back(std::move(placement));
+    if (!gives_way(*job)) machine.wanted_at = now;
     fresh_ = true;
     machine.busy_at = now;
   }
@@ -247,12 +262,14 @@
     if (placement.seen_tick == machine.tick && machine.tick != 0) {
       if (unwanted) {
         orders.push_back({Order::Verb::kStop, piece, placement.try_no, 0});
+      } else if (placement.preempted && placement.phase != PiecePhase::kSaving) {
+        orders.push_back({Order::Verb::kStop, piece, placement.try_no, stop_grace_s(job.spec())});
       } else if ((machine.warned_at || (machine.draining && machine.sick)) &&
                  placement.phase == PiecePhase::kRunning && job.spec().snapshot_every_s > 0) {
         // It will be killed; what can save does so now and goes on elsewhere.
-        orders.push_back({Order::Verb::kStop, piece, placement.try_no, job.spec().snapshot_cost_s + 1});
+        orders.push_back({Order::Verb::kStop, piece, placement.try_no, stop_grace_s(job.spec())});
       }
-    } else if (!unwanted && may_launch && machine.welcome()) {
+    } else if (!unwanted && !placement.preempted && may_launch && machine.welcome()) {
       if (placement.sent_tick != 0) {
         counters_.relaunches++;
         if (!again) machine.unheard++;
--- a/src/coordination/part_lending.cpp
+++ b/src/coordination/part_lending.cpp
@@ -256,16 +256,27 @@
   const double now = ctx_.env->now();
   if (borrowing_ || now < next_borrow_ || state_silent() || !ctx_.lease_valid()) return;
   next_borrow_ = now + kBorrowEvery;
+  // Others' work that goes before best-effort work gets the room of ours too.
+  const bool others_wait =
+      std::any_of(elsewhere_.begin(), elsewhere_.end(), [](const auto& hint) { return hint.startable; });
   std::vector<std::pair<const Machine*, Resources>> rooms;
   for (const auto& [name, machine] : machines_) {
     if (machine->type < 0 || !machine->welcome() || now < machine->no_fill_until) continue;
     if (!machine->heard || now - machine->last_heard > fresh_s()) continue;
-    if (machine->room[0] < 0.5) continue;
+    Resources room = machine->room;
+    if (others_wait) {
+      const Yieldable free = yieldable(*machine);
+      room = free.room;
+      for (const PreemptionCandidate& each : free.candidates) {
+        for (std::size_t r = 0; r < room.size(); r++) room[r] += each.held[r];
+      }
+    }
+    if (room[0] < 0.5) continue;
     machine->keeping = keeps_for_large(*machine);
-    rooms.emplace_back(machine.get(), machine->room);
+    rooms.emplace_back(machine.get(), room);
   }
   for (const auto& [name, job] : jobs_) {
-    if (job->over()) continue;
+    if (job->over() || (others_wait && gives_way(*job))) continue;
     int left = std::min(job->waiting.size(), teams_.tasks_within(job->team, job->demand));
     for (auto& [machine, room] : rooms) {
       if (machine->keeping && small_on(*job, machine->type)) continue;
@@ -278,7 +289,7 @@
     Json images = Json::array();
     for (const auto& [image, gb] : machine->images) images.push_back(bundles_.name(image));
     offers.push_back({machine->record.flavour, machine->record.hall, machine->record.loaner, room[0], room[1],
-                      room[2], machine->winding || machine->keeping, std::move(images)});
+                      room[2], machine->winding || machine->keeping, std::move(images), others_wait});
   }
   if (offers.empty()) return;
   Json spare = Json::array();
@@ -372,6 +383,7 @@
     const bool loaner = offer.at(2).get<bool>();
     const bool choosy = offer.at(6).get<bool>();
     const auto images = offer.at(7).get<std::vector<std::string>>();
+    const bool before_best_effort = offer.size() > 8 && offer.at(8).get<bool>();
     const int type = ctx_.types->find(flavour);
     Resources room = {offer.at(3).get<double>(), offer.at(4).get<double>(), offer.at(5).get<double>()};
     std::vector<Request> listed;
@@ -381,6 +393,9 @@
       if (!may_go(spec, flavour, hall, loaner)) continue;
       // Winding down or kept for large tasks, it takes only what cannot go anywhere else.
       if (choosy && type >= 0 && small_on(*jobs[i], type)) continue;
+      // Best-effort work does not travel where it would not be started, or where other work is to go.
+      if (gives_way(*jobs[i]) && ((before_best_effort || (!loaner && spec.loaner)) && !starving(*jobs[i])))
+        continue;
       listed.push_back(requests[i]);
       listed.back().local = std::find(images.begin(), images.end(), spec.bundle) != images.end();
       index.push_back(i);
@@ -678,14 +693,18 @@
     item.silent_s = now - machine->last_heard;
     item.idle_s = machine->placements.empty() ? now - machine->busy_at : 0;
     std::map<int, Resources> rooms;
+    std::map<int, Resources> yielding;  // likewise, held by best-effort work
     rooms[0] = machine->room;
     for (const Placement& placement : machine->placements) {
       const double rate = machine->type >= 0 ? ctx_.types->at(machine->type).pull_gb_per_s : 1;
       const int bucket = 1 + static_cast<int>(remaining(placement, rate, now) / kBucket);
-      Resources& room = rooms[bucket];
+      Resources& room = gives_way(*placement.job) ? yielding[bucket] : rooms[bucket];
       for (std::size_t r = 0; r < 3; r++) room[r] += placement.job->demand[r];
     }
-    for (const auto& [bucket, room] : rooms) item.rooms.push_back({bucket * kBucket, room});
+    for (const auto& [bucket, room] : rooms) item.rooms.push_back({bucket * kBucket, room, false});
+    for (const auto& [bucket, room] : yielding) item.rooms.push_back({bucket * kBucket, room, true});
+    std::stable_sort(item.rooms.begin(), item.rooms.end(),
+                     [](const FleetRoom& a, const FleetRoom& b) { return a.at_s < b.at_s; });
     out.machines.push_back(std::move(item));
   }
   const double wall = ctx_.env->wall();
@@ -695,9 +714,10 @@
     // No machine is rented for one that is at fault.
     const int waiting = job->at_fault() ? 0 : job->waiting.size();
     const int count = job->at_fault() ? 0 : waiting + static_cast<int>(job->backoff.size());
-    out.wanted_by_team[job->team] += (job->placed + waiting) * job->demand[0];
+    // Room is kept free for what demand varies by; best-effort work can wait.
+    if (!gives_way(*job)) out.wanted_by_team[job->team] += (job->placed + waiting) * job->demand[0];
     out.used_by_team[job->team] += job->placed * job->demand[0];
-    if (!job->borrowed()) {
+    if (!job->borrowed() && !gives_way(*job)) {
       const double cores = (job->placed + count + job->lent_open()) * job->demand[0];
       out.squares += cores * cores;
     }
@@ -706,7 +726,8 @@
     demand.demand = job->demand;
     demand.count = count;
     demand.team = job->team;
-    demand.urgency = static_cast<int>(spec.urgency);
+    // (Promoted best-effort work is asked for like other work.)
+    demand.urgency = gives_way(*job) ? 0 : std::max(1, static_cast<int>(spec.urgency));
     demand.guess_s = spec.guess_s;
     demand.pull_gb = spec.pull_gb;
     if (spec.due_s) demand.time_left_s = job->head.submitted + *spec.due_s - wall;
--- /dev/null
+++ b/src/coordination/part_preempt.cpp
@@ -0,0 +1,186 @@
+// Best-effort work gives way: it is started only where nothing else wants the room, and stopped for other work
+// that waits under its team's limit.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "coordination/part.hpp"
+#include "scheduling/preemption.hpp"
+
+namespace mothslip {
+
+namespace {
+// Other work waits this long for room to come free by itself.
+constexpr double kPatience = 0.8;
+// Best-effort work of which nothing has begun for this long is treated like other work until its first task is
+// placed: nothing waits for ever, however busy the cluster is.
+constexpr double kPromoteAfter = 120.0;
+// Room is kept from it for other parts' work no longer than this: it may be of no use to that work.
+constexpr double kHoldBack = 20.0;
+// Best-effort work starts on a machine that no other work has wanted or been given for this long. Started in
+// every gap of a busy cluster, it was stopped again within seconds, and again, until it might not be any more.
+constexpr double kQuiet = 8.0;
+// A task is stopped so many times at the most, and never shortly before its expected end.
+constexpr int kMostStops = 4;
+constexpr double kNearlyDone = 5.0;
+// Work that may be lost for a task, in seconds of that task's own cores.
+constexpr double kWorthLosing = 30.0;
+constexpr double kRestart = 3.0;  // seconds until a stopped task runs again elsewhere: its record, its image
+constexpr std::size_t kStopsPerTick = 48;
+// Long tasks that cannot save and leave most of their machine free are packed onto machines that have such
+// tasks already: one of them on every machine would leave no room for large tasks anywhere.
+constexpr double kLongTask = 30.0;
+constexpr double kPackingPatience = 5.0;
+
+bool saves(const JobSpec& spec) { return spec.snapshot_every_s > 0; }
+
+bool breaks_up(const Job& job, const Machine& machine) {
+  const JobSpec& spec = job.spec();
+  return !saves(spec) && spec.guess_s > kLongTask && 2 * job.demand[0] <= machine.capacity[0];
+}
+}  // namespace
+
+bool Part::gives_way(const Job& job) const {
+  if (job.spec().urgency != Urgency::kBestEffort) return false;
+  const bool begun = job.placed > 0 || !job.done.empty() || job.lent_open() > 0;
+  return begun || ctx_.env->wall() - job.head.submitted < kPromoteAfter;
+}
+
+// Waits for nothing but room: under its team's limit, and not at fault.
+bool Part::wants_room(const Job& job) const {
+  return !job.waiting.empty() && !job.over() && !job.cancelling && job.cancel_waiters.empty() &&
+         !job.at_fault() && teams_.room(job.team, job.demand);
+}
+
+// Work that goes first waits for room on such a machine: here, or at another part.
+bool Part::wanted_by_others(Machine& machine) const {
+  for (const auto& [name, job] : jobs_) {
+    if (wants_room(*job) && !gives_way(*job) && fits(job->demand, machine.capacity) &&
+        allowed_on(*job, machine)) {
+      return true;
+    }
+  }
+  const bool elsewhere = std::any_of(elsewhere_.begin(), elsewhere_.end(), [&machine](const auto& hint) {
+    return hint.startable && (hint.loaner || !machine.record.loaner) && fits(hint.demand, machine.room);
+  });
+  const double now = ctx_.env->now();
+  if (!elsewhere) {
+    machine.held_back_since = 0;
+    return false;
+  }
+  if (machine.held_back_since == 0) machine.held_back_since = now;
+  return now - machine.held_back_since < kHoldBack;
+}
+
+bool Part::quiet(Machine& machine) const {
+  const double now = ctx_.env->now();
+  if (wanted_by_others(machine)) machine.wanted_at = now;
+  return now - machine.wanted_at >= kQuiet;
+}
+
+// Whether best-effort work may start on the machine at all. (What has waited for long beside room may.)
+bool Part::open_to_best_effort(const Job& job, const Machine& machine, bool quiet) const {
+  if (starving(job)) return true;
+  if (!quiet) return false;
+  // Ordinary machines are dear, and go back as soon as they are idle.
+  if (!machine.record.loaner && job.spec().loaner) return false;
+  if (!breaks_up(job, machine)) return true;
+  const bool broken_up =
+      std::any_of(machine.placements.begin(), machine.placements.end(),
+                  [&machine](const Placement& p) { return breaks_up(*p.job, machine); });
+  return broken_up || ctx_.env->wall() - job.head.submitted > kPackingPatience;
+}
+
+// What a machine has free, will have once the tasks that are being stopped are gone, and would have without
+// any best-effort work.
+Part::Yieldable Part::yieldable(const Machine& machine) const {
+  Yieldable out;
+  out.room = machine.room;
+  const double now = ctx_.env->now();
+  for (std::size_t i = 0; i < machine.placements.size(); i++) {
+    const Placement& placement = machine.placements[i];
+    const Job& job = *placement.job;
+    if (placement.preempted || placement.stage == Placement::Stage::kFreeing) {
+      for (std::size_t r = 0; r < out.room.size(); r++) out.room[r] += job.demand[r];
+      continue;
+    }
+    if (placement.stage != Placement::Stage::kRecorded || !gives_way(job)) continue;
+    const double ran = placement.running_since == 0 ? 0 : now - placement.running_since;
+    const bool soon_over = placement.running_since != 0 && job.spec().guess_s - ran < kNearlyDone;
+    const bool only_one = job.placed == 1 && job.done.empty();
+    const auto stops = job.stops.find(placement.index);
+    if (soon_over || only_one || placement.phase == PiecePhase::kSaving ||
+        (stops != job.stops.end() && stops->second >= kMostStops)) {
+      continue;
+    }
+    const double lost_s = kRestart + (saves(job.spec()) ? job.spec().snapshot_cost_s : ran);
+    out.candidates.push_back({i, job.demand, lost_s * job.demand[0]});
+  }
+  return out;
+}
+
+void Part::preempt_for(const Job& job, int count, std::map<Machine*, Yieldable>& machines,
+                       std::size_t& stops_left) {
+  const auto take_room_of = [&job](Resources& room) {
+    for (std::size_t r = 0; r < room.size(); r++) room[r] -= job.demand[r];
+  };
+  for (auto& [machine, free] : machines) {
+    while (count > 0 && fits(job.demand, free.room) && allowed_on(job, *machine)) {
+      take_room_of(free.room);
+      count--;
+    }
+  }
+  for (auto& [machine, free] : machines) {
+    while (count > 0 && stops_left > 0 && !free.candidates.empty() && allowed_on(job, *machine)) {
+      const Preemption chosen =
+          choose_preemption(free.room, job.demand, free.candidates, kWorthLosing * job.demand[0]);
+      if (chosen.ids.empty()) break;
+      for (const std::size_t id : chosen.ids) {
+        Placement& placement = machine->placements[id];
+        placement.preempted = true;
+        placement.job->stops[placement.index]++;
+        counters_.preempted++;
+        for (std::size_t r = 0; r < free.room.size(); r++) free.room[r] += placement.job->demand[r];
+        std::erase_if(free.candidates, [id](const auto& each) { return each.id == id; });
+      }
+      stops_left -= std::min(stops_left, chosen.ids.size());
+      take_room_of(free.room);
+      count--;
+      send_stops(*machine);
+    }
+  }
+}
+
+// Stops best-effort tasks for other work that has waited for room for a moment.
+void Part::preempt() {
+  if (state_silent() || !ctx_.lease_valid()) return;
+  const double wall = ctx_.env->wall();
+  std::vector<const Job*> waiting;
+  for (const auto& [name, job] : jobs_) {
+    if (wants_room(*job) && !gives_way(*job) && wall - job->head.submitted > kPatience)
+      waiting.push_back(job.get());
+  }
+  if (waiting.empty()) return;
+  const double now = ctx_.env->now();
+  std::map<Machine*, Yieldable> machines;
+  bool any = false;
+  for (auto& [name, machine] : machines_) {
+    if (machine->type < 0 || !machine->welcome() || !machine->acked) continue;
+    if (now - machine->last_heard > fresh_s()) continue;
+    const auto place = machines.emplace(machine.get(), yieldable(*machine)).first;
+    any = any || !place->second.candidates.empty();
+  }
+  if (!any) return;
+  std::sort(waiting.begin(), waiting.end(), [](const Job* a, const Job* b) {
+    return a->spec().urgency != b->spec().urgency ? a->spec().urgency > b->spec().urgency
+                                                  : a->head.submitted < b->head.submitted;
+  });
+  std::size_t stops_left = kStopsPerTick;
+  for (const Job* job : waiting) {
+    if (stops_left == 0) break;
+    const int count = std::min(job->waiting.size(), teams_.tasks_within(job->team, job->demand));
+    preempt_for(*job, count, machines, stops_left);
+  }
+}
+
+}  // namespace mothslip
--- a/src/coordination/summary.cpp
+++ b/src/coordination/summary.cpp
@@ -14,7 +14,7 @@
   for (const MachineSummary& machine : machines) {
     Json rooms = Json::array();
     for (const FleetRoom& room : machine.rooms) {
-      rooms.push_back({room.at_s, room.room[0], room.room[1], room.room[2]});
+      rooms.push_back({room.at_s, room.room[0], room.room[1], room.room[2], room.yields});
     }
     machine_list.push_back({machine.name, machine.flavour, machine.hall, machine.address, machine.spot,
                             machine.welcome, machine.sick, machine.draining, machine.empty, machine.silent_s,
@@ -75,7 +75,8 @@
       for (const Json& room : item.at(11)) {
         machine.rooms.push_back(
             {room.at(0).get<double>(),
-             {room.at(1).get<double>(), room.at(2).get<double>(), room.at(3).get<double>()}});
+             {room.at(1).get<double>(), room.at(2).get<double>(), room.at(3).get<double>()},
+             room.size() > 4 && room.at(4).get<bool>()});
       }
       out.machines.push_back(std::move(machine));
     }
@@ -105,7 +106,7 @@
 Json FleetOrders::to_json() const {
   Json hints = Json::array();
   for (const WaitingHint& hint : waiting)
-    hints.push_back({to_list(hint.demand), hint.urgency, hint.loaner, hint.starving});
+    hints.push_back({to_list(hint.demand), hint.urgency, hint.loaner, hint.starving, hint.startable});
   return {{"draining", draining}, {"winding", winding}, {"gone", gone}, {"waiting", std::move(hints)}};
 }
 
@@ -117,7 +118,8 @@
     out.gone = value.at("gone").get<std::vector<std::string>>();
     for (const Json& hint : value.at("waiting")) {
       out.waiting.push_back(
-          {from_list(hint.at(0)), hint.at(1).get<int>(), hint.at(2).get<bool>(), hint.at(3).get<bool>()});
+          {from_list(hint.at(0)), hint.at(1).get<int>(), hint.at(2).get<bool>(), hint.at(3).get<bool>(),
+           hint.size() > 4 && hint.at(4).get<bool>()});
     }
   } catch (const Json::exception&) {
     return {};
--- a/src/coordination/summary.hpp
+++ b/src/coordination/summary.hpp
@@ -60,6 +60,7 @@
   int urgency = 0;
   bool loaner = false;
   bool starving = false;
+  bool startable = false;  // goes before best-effort work, and lacks nothing but room
   double least_cores = 0;  // of the smallest machine type that can hold it; for the part to work out
 };
 
--- /dev/null
+++ b/src/scheduling/preemption.cpp
@@ -0,0 +1,33 @@
+#include "scheduling/preemption.hpp"
+
+#include <algorithm>
+
+namespace mothslip {
+
+Preemption choose_preemption(const Resources& room, const Resources& needed,
+                             std::vector<PreemptionCandidate> candidates, double most_lost) {
+  std::sort(candidates.begin(), candidates.end(),
+            [](const PreemptionCandidate& a, const PreemptionCandidate& b) { return a.lost < b.lost; });
+  Resources sum = room;
+  std::size_t taken = 0;
+  while (!fits(needed, sum) && taken < candidates.size()) {
+    for (std::size_t r = 0; r < sum.size(); r++) sum[r] += candidates[taken].held[r];
+    taken++;
+  }
+  if (!fits(needed, sum)) return {};
+  Preemption out;
+  // The dearest are left out first, where the others suffice.
+  for (std::size_t i = taken; i-- > 0;) {
+    Resources without = sum;
+    for (std::size_t r = 0; r < sum.size(); r++) without[r] -= candidates[i].held[r];
+    if (fits(needed, without)) {
+      sum = without;
+      continue;
+    }
+    out.ids.push_back(candidates[i].id);
+    out.lost += candidates[i].lost;
+  }
+  return out.lost <= most_lost ? out : Preemption{};
+}
+
+}  // namespace mothslip
--- a/src/scheduling/sizing.cpp
+++ b/src/scheduling/sizing.cpp
@@ -14,6 +14,7 @@
 constexpr double kNever = std::numeric_limits<double>::infinity();
 constexpr double kGuessSlack = 1.5;  // estimates are wrong by half: plan for tasks that take a little longer
 constexpr double kBootSlack = 1.1;
+constexpr double kPreemption = 5.0;  // until a task that is stopped for another has saved and is gone
 // Of the time that a deadline leaves: what comes after, and goes first, is not known yet.
 constexpr double kSlackShare = 0.5;
 constexpr double kWorthWaiting = 1.3;  // a new machine must start the task this much sooner
@@ -32,21 +33,46 @@
   return share;
 }
 
-// The earliest time at which the machine has this much free. Rooms are kept in order of time.
-double earliest(const FleetMachine& machine, const Resources& demand) {
+// Best-effort work gives way, and is not counted on to make others give way.
+bool preempts(const FleetDemand& demand) { return demand.rank > 0; }
+
+// When the demand can use the room.
+double usable_at(const FleetRoom& room, const FleetDemand& demand) {
+  return room.yields && preempts(demand) ? std::min(room.at_s, kPreemption) : room.at_s;
+}
+
+// The earliest time at which the machine has this much free.
+double earliest(const FleetMachine& machine, const FleetDemand& demand) {
+  // Rooms are kept in order of time, but for those that yield.
+  Resources early{};
+  bool yields = false;
+  for (const FleetRoom& room : machine.rooms) {
+    if (!room.yields || !preempts(demand)) continue;
+    yields = true;
+    for (std::size_t r = 0; r < early.size(); r++) early[r] += room.room[r];
+  }
   Resources sum{};
   for (const FleetRoom& room : machine.rooms) {
+    if (yields && room.at_s > kPreemption) {
+      for (std::size_t r = 0; r < sum.size(); r++) sum[r] += early[r];
+      yields = false;
+      if (fits(demand.demand, sum)) return kPreemption;
+    }
+    if (room.yields && preempts(demand)) continue;
     for (std::size_t r = 0; r < sum.size(); r++) sum[r] += room.room[r];
-    if (fits(demand, sum)) return room.at_s;
+    if (fits(demand.demand, sum)) return room.at_s;
   }
-  return kNever;
+  if (!yields) return kNever;
+  for (std::size_t r = 0; r < sum.size(); r++) sum[r] += early[r];
+  return fits(demand.demand, sum) ? kPreemption : kNever;
 }
 
 // Takes the demand out of the rooms free by `at`, the latest first: what is free earlier stays for others.
-void take(FleetMachine& machine, Resources demand, double at, double until) {
-  FleetRoom back{until, demand};
+void take(FleetMachine& machine, const FleetDemand& wanted, double at, double until) {
+  Resources demand = wanted.demand;
+  FleetRoom back{until, demand, wanted.rank == 0};
   for (auto it = machine.rooms.rbegin(); it != machine.rooms.rend(); ++it) {
-    if (it->at_s > at) continue;
+    if (usable_at(*it, wanted) > at) continue;
     for (std::size_t r = 0; r < demand.size(); r++) {
       const double part = std::min(demand[r], it->room[r]);
       it->room[r] -= part;
@@ -87,7 +113,7 @@
   void look(int machine) {
     const FleetMachine& each = machines_[static_cast<std::size_t>(machine)];
     if (!each.usable || !allowed(demand_, each.type, each.hall, each.spot)) return;
-    const double at = earliest(each, demand_.demand);
+    const double at = earliest(each, demand_);
     if (at == kNever) return;
     heap_.push({at, dominant(demand_.demand, types_[static_cast<std::size_t>(each.type)].capacity), machine});
   }
@@ -161,7 +187,7 @@
             fresh.hall = market.hall;
             fresh.spot = market.spot;
             fresh.rooms.push_back({ready, type.capacity});
-            take(fresh, demand.demand, ready, ready + run);
+            take(fresh, demand, ready, ready + run);
             machines.push_back(std::move(fresh));
             starts.look(static_cast<int>(machines.size()) - 1);
             at_once++;
@@ -170,7 +196,7 @@
         }
       }
       if (here.machine < 0) break;
-      take(machines[static_cast<std::size_t>(here.machine)], demand.demand, here.at, here.at + run);
+      take(machines[static_cast<std::size_t>(here.machine)], demand, here.at, here.at + run);
       starts.took();
       if (static_cast<std::size_t>(here.machine) < known)
         plan.needed_rooms[static_cast<std::size_t>(here.machine)]++;
--- a/src/scheduling/sizing.hpp
+++ b/src/scheduling/sizing.hpp
@@ -30,6 +30,7 @@
 struct FleetRoom {
   double at_s = 0;
   Resources room{};
+  bool yields = false;  // held by best-effort work, which is stopped for other work
 };
 
 struct FleetMachine {
