--- a/src/bookkeeping/ledger.hpp
+++ b/src/bookkeeping/ledger.hpp
@@ -40,7 +40,7 @@
   RangeSet range;     // borrowed: the tasks in the block
   std::uint64_t block_stamp = 0;
   bool works = false;                // borrowed: tasks of the job have completed elsewhere
-  double idle_since = 0;             // borrowed: nothing was placed since
+  double idle_since = 0;             // nothing was placed since
   std::map<std::string, Lent> lent;  // home: by block key
   int team = 0;
   int bundle = 0;
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -28,7 +28,7 @@
 constexpr std::size_t kReturnShare = 30;  // one in so many machines may go back a step
 constexpr int kRentCalls = 24;
 constexpr double kBestEffortStart = 120.0;  // machines are rented for best-effort work that waits longer
-constexpr double kAskedFor = 10.0;  // a rental without an answer is counted on this long
+constexpr double kAskedFor = 10.0;          // a rental without an answer is counted on this long
 }  // namespace
 
 Fleet::Fleet(Context context) : ctx_(std::move(context)) {
@@ -212,6 +212,7 @@
   for (const MachineSummary& machine : told.summary.machines) machines_[machine.name] = &machine;
   note_reporting(told.summary);
   FleetOrders orders;
+  orders.headroom_share = headroom_share_;
   for (const MachineSummary& machine : told.summary.machines) {
     const auto it = rented_.find(machine.name);
     if (it == rented_.end()) continue;
@@ -475,6 +476,10 @@
   // Jobs come independently of each other: what is in use varies by about the root of the sum of their
   // squares. With many jobs that is far less, of what is in use, than with a few.
   const double spare = std::min(tuning.headroom * used_cores_, tuning.headroom_spread * std::sqrt(squares_));
+  double cores = 0;
+  for (const FleetMachine& machine : machines)
+    cores += types[static_cast<std::size_t>(machine.type)].capacity[0];
+  headroom_share_ = cores > 0 ? std::min(1.0, spare / cores) : 0;
   headroom.count = static_cast<int>(std::ceil(spare / headroom.demand[0]));
   headroom.rank = -1;
   headroom.start_within_s = 0.5;
--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -122,6 +122,7 @@
   bool return_call_ = false;
   double guarantee_wish_ = 60;  // any job: tasks are wanted to start within, the least that guarantees say
   double used_cores_ = 0;       // smoothed
+  double headroom_share_ = 0;   // of all cores: what is wanted free, as last planned
   double squares_ = 0;          // of the open jobs' cores, smoothed
   double last_step_ = 0;
   double began_ = 0;
--- a/src/coordination/part.cpp
+++ b/src/coordination/part.cpp
@@ -607,6 +607,7 @@
   }
   raise_batons();
   preempt();
+  measure_headroom();
   pump();
   press_cancels();
   if (ctx_.parts > 1) {
@@ -623,6 +624,7 @@
     machine->draining = draining.count(name) > 0;
     machine->winding = winding.count(name) > 0;
   }
+  headroom_share_ = orders.headroom_share;
   elsewhere_ = orders.waiting;
   for (WaitingHint& hint : elsewhere_) hint.least_cores = least_cores(std::nullopt, hint.demand);
   for (const std::string& name : orders.gone) {
--- a/src/coordination/part.hpp
+++ b/src/coordination/part.hpp
@@ -81,7 +81,8 @@
   struct Counters {
     std::uint64_t reports = 0, launches = 0, completions = 0, fetches = 0, lent = 0, borrowed = 0,
                   given_back = 0, errors = 0, freed_by_lease = 0, freed_by_tenure = 0, freed_by_return = 0,
-                  relaunches = 0, preempted = 0, pages = 0, page_changes = 0, blocks = 0, moves = 0, endings = 0;
+                  relaunches = 0, preempted = 0, pages = 0, page_changes = 0, blocks = 0, moves = 0,
+                  endings = 0;
   };
   [[nodiscard]] const Counters& counters() const { return counters_; }
 
@@ -160,17 +161,20 @@
 
   // part_preempt.cpp
   struct Yieldable {
+    Machine* machine = nullptr;
     Resources room{};  // free, or free soon
     std::vector<PreemptionCandidate> candidates;
   };
   [[nodiscard]] bool gives_way(const Job& job) const;
+  [[nodiscard]] bool overlooked(const Job& job) const;
   [[nodiscard]] bool wants_room(const Job& job) const;
   [[nodiscard]] bool wanted_by_others(Machine& machine) const;
   [[nodiscard]] bool quiet(Machine& machine) const;
   [[nodiscard]] bool open_to_best_effort(const Job& job, const Machine& machine, bool quiet) const;
-  [[nodiscard]] Yieldable yieldable(const Machine& machine) const;
-  void preempt_for(const Job& job, int count, std::map<Machine*, Yieldable>& machines, std::size_t& stops_left);
+  [[nodiscard]] Yieldable yieldable(Machine& machine) const;
+  void preempt_for(const Job& job, int count, std::vector<Yieldable>& machines, std::size_t& stops_left);
   void preempt();
+  void measure_headroom();
   // A machine's room counts while its last report is no older. (An idle one's reports are held.)
   [[nodiscard]] double fresh_s() const { return 2 * ctx_.settings->report_s + 2; }
   [[nodiscard]] static bool may_go(const JobSpec& spec, const std::string& flavour, const std::string& hall,
@@ -280,6 +284,8 @@
   std::deque<std::string> returned_order_;  // machines that are gone for good, oldest first:
   std::set<std::string> returned_;          // late copies of their reports still come
   std::vector<WaitingHint> elsewhere_;      // what waits at other parts, as the fleet told last
+  double headroom_share_ = 0;               // of our machines' cores, kept free of best-effort work
+  double beyond_headroom_ = 0;              // cores that are free beyond that
   bool waking_ = false;
   int raising_ = 0;         // direct commands under way that only show our token
   bool borrowing_ = false;  // a part was asked and has not answered yet
--- a/src/coordination/part_fill.cpp
+++ b/src/coordination/part_fill.cpp
@@ -242,7 +242,11 @@
       machine.use_image(job->bundle, job->spec().pull_gb, type.cache_gb);
     }
     machine.placements.push_back(std::move(placement));
-    if (!gives_way(*job)) machine.wanted_at = now;
+    if (gives_way(*job)) {
+      beyond_headroom_ -= job->demand[0];
+    } else {
+      machine.wanted_at = now;
+    }
     fresh_ = true;
     machine.busy_at = now;
   }
--- a/src/coordination/part_lending.cpp
+++ b/src/coordination/part_lending.cpp
@@ -394,7 +394,7 @@
       // Winding down or kept for large tasks, it takes only what cannot go anywhere else.
       if (choosy && type >= 0 && small_on(*jobs[i], type)) continue;
       // Best-effort work does not travel where it would not be started, or where other work is to go.
-      if (gives_way(*jobs[i]) && ((before_best_effort || (!loaner && spec.loaner)) && !starving(*jobs[i])))
+      if (gives_way(*jobs[i]) && ((before_best_effort || (!loaner && spec.loaner)) && !overlooked(*jobs[i])))
         continue;
       listed.push_back(requests[i]);
       listed.back().local = std::find(images.begin(), images.end(), spec.bundle) != images.end();
--- a/src/coordination/part_load.cpp
+++ b/src/coordination/part_load.cpp
@@ -147,8 +147,7 @@
   raise_batons();
   auto early = std::move(early_);
   early_.clear();
-  for (EarlyReport& each : early)
-    on_report(std::move(each.report), each.relayed, std::move(each.responder));
+  for (EarlyReport& each : early) on_report(std::move(each.report), each.relayed, std::move(each.responder));
   tick();
 }
 
@@ -221,6 +220,7 @@
   job->head = std::move(head);
   job->head_stamp = stamp;
   job->home = id_;
+  job->idle_since = ctx_.env->now();
   const JobSpec& spec = job->spec();
   job->team = std::max(0, ctx_.settings->team_index(spec.owner));
   job->bundle = bundles_.intern(spec.bundle);
--- a/src/coordination/part_preempt.cpp
+++ b/src/coordination/part_preempt.cpp
@@ -1,5 +1,5 @@
-// Best-effort work gives way: it is started only where nothing else wants the room, and stopped for other work
-// that waits under its team's limit.
+// Best-effort work gives way: it is started only where nothing else wants the room, and stopped for other
+// work that waits under its team's limit.
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -12,19 +12,22 @@
 namespace {
 // Other work waits this long for room to come free by itself.
 constexpr double kPatience = 0.8;
-// Best-effort work of which nothing has begun for this long is treated like other work until its first task is
-// placed: nothing waits for ever, however busy the cluster is.
+// Best-effort work of which nothing has begun for this long is treated like other work until its first task
+// is placed: nothing waits for ever, however busy the cluster is.
+constexpr double kOverlooked = 30.0;
 constexpr double kPromoteAfter = 120.0;
 // Room is kept from it for other parts' work no longer than this: it may be of no use to that work.
 constexpr double kHoldBack = 20.0;
 // Best-effort work starts on a machine that no other work has wanted or been given for this long. Started in
-// every gap of a busy cluster, it was stopped again within seconds, and again, until it might not be any more.
+// every gap of a busy cluster, it was stopped again within seconds, and again, until it might not be any
+// more.
 constexpr double kQuiet = 8.0;
 // A task is stopped so many times at the most, and never shortly before its expected end.
 constexpr int kMostStops = 4;
 constexpr double kNearlyDone = 5.0;
 // Work that may be lost for a task, in seconds of that task's own cores.
 constexpr double kWorthLosing = 30.0;
+constexpr double kHeadroomKept = 0.5;  // of the headroom that the fleet plans with
 constexpr double kRestart = 3.0;  // seconds until a stopped task runs again elsewhere: its record, its image
 constexpr std::size_t kStopsPerTick = 48;
 // Long tasks that cannot save and leave most of their machine free are packed onto machines that have such
@@ -46,6 +49,11 @@
   return begun || ctx_.env->wall() - job.head.submitted < kPromoteAfter;
 }
 
+// Of best-effort work nothing was placed for so long that any room will do: other work may be waiting for
+// something that this room is not. (The check of the simulated cluster's days: no job waits for 90 s beside a
+// machine with room.)
+bool Part::overlooked(const Job& job) const { return ctx_.env->now() - job.idle_since > kOverlooked; }
+
 // Waits for nothing but room: under its team's limit, and not at fault.
 bool Part::wants_room(const Job& job) const {
   return !job.waiting.empty() && !job.over() && !job.cancelling && job.cancel_waiters.empty() &&
@@ -80,21 +88,21 @@
 
 // Whether best-effort work may start on the machine at all. (What has waited for long beside room may.)
 bool Part::open_to_best_effort(const Job& job, const Machine& machine, bool quiet) const {
-  if (starving(job)) return true;
-  if (!quiet) return false;
+  if (overlooked(job)) return true;
+  if (!quiet || beyond_headroom_ < job.demand[0]) return false;
   // Ordinary machines are dear, and go back as soon as they are idle.
   if (!machine.record.loaner && job.spec().loaner) return false;
   if (!breaks_up(job, machine)) return true;
-  const bool broken_up =
-      std::any_of(machine.placements.begin(), machine.placements.end(),
-                  [&machine](const Placement& p) { return breaks_up(*p.job, machine); });
+  const bool broken_up = std::any_of(machine.placements.begin(), machine.placements.end(),
+                                     [&machine](const Placement& p) { return breaks_up(*p.job, machine); });
   return broken_up || ctx_.env->wall() - job.head.submitted > kPackingPatience;
 }
 
 // What a machine has free, will have once the tasks that are being stopped are gone, and would have without
 // any best-effort work.
-Part::Yieldable Part::yieldable(const Machine& machine) const {
+Part::Yieldable Part::yieldable(Machine& machine) const {
   Yieldable out;
+  out.machine = &machine;
   out.room = machine.room;
   const double now = ctx_.env->now();
   for (std::size_t i = 0; i < machine.placements.size(); i++) {
@@ -119,24 +127,24 @@
   return out;
 }
 
-void Part::preempt_for(const Job& job, int count, std::map<Machine*, Yieldable>& machines,
-                       std::size_t& stops_left) {
+void Part::preempt_for(const Job& job, int count, std::vector<Yieldable>& machines, std::size_t& stops_left) {
   const auto take_room_of = [&job](Resources& room) {
     for (std::size_t r = 0; r < room.size(); r++) room[r] -= job.demand[r];
   };
-  for (auto& [machine, free] : machines) {
-    while (count > 0 && fits(job.demand, free.room) && allowed_on(job, *machine)) {
+  for (Yieldable& free : machines) {
+    while (count > 0 && fits(job.demand, free.room) && allowed_on(job, *free.machine)) {
       take_room_of(free.room);
       count--;
     }
   }
-  for (auto& [machine, free] : machines) {
-    while (count > 0 && stops_left > 0 && !free.candidates.empty() && allowed_on(job, *machine)) {
+  for (Yieldable& free : machines) {
+    Machine& machine = *free.machine;
+    while (count > 0 && stops_left > 0 && !free.candidates.empty() && allowed_on(job, machine)) {
       const Preemption chosen =
           choose_preemption(free.room, job.demand, free.candidates, kWorthLosing * job.demand[0]);
       if (chosen.ids.empty()) break;
       for (const std::size_t id : chosen.ids) {
-        Placement& placement = machine->placements[id];
+        Placement& placement = machine.placements[id];
         placement.preempted = true;
         placement.job->stops[placement.index]++;
         counters_.preempted++;
@@ -146,11 +154,23 @@
       stops_left -= std::min(stops_left, chosen.ids.size());
       take_room_of(free.room);
       count--;
-      send_stops(*machine);
+      send_stops(machine);
     }
   }
 }
 
+// What other work will want next is best found free: a task that must be stopped first saves for seconds.
+void Part::measure_headroom() {
+  double free = 0;
+  double all = 0;
+  for (const auto& [name, machine] : machines_) {
+    if (machine->type < 0 || !machine->welcome() || !machine->heard) continue;
+    free += std::max(0.0, machine->room[0]);
+    all += machine->capacity[0];
+  }
+  beyond_headroom_ = free - kHeadroomKept * headroom_share_ * all;
+}
+
 // Stops best-effort tasks for other work that has waited for room for a moment.
 void Part::preempt() {
   if (state_silent() || !ctx_.lease_valid()) return;
@@ -162,13 +182,13 @@
   }
   if (waiting.empty()) return;
   const double now = ctx_.env->now();
-  std::map<Machine*, Yieldable> machines;
+  std::vector<Yieldable> machines;
   bool any = false;
   for (auto& [name, machine] : machines_) {
     if (machine->type < 0 || !machine->welcome() || !machine->acked) continue;
     if (now - machine->last_heard > fresh_s()) continue;
-    const auto place = machines.emplace(machine.get(), yieldable(*machine)).first;
-    any = any || !place->second.candidates.empty();
+    machines.push_back(yieldable(*machine));
+    any = any || !machines.back().candidates.empty();
   }
   if (!any) return;
   std::sort(waiting.begin(), waiting.end(), [](const Job* a, const Job* b) {
--- a/src/coordination/report_relay.cpp
+++ b/src/coordination/report_relay.cpp
@@ -12,8 +12,8 @@
 // A worker knows a new owner's token before it has reached that owner, by a direct command. After this long
 // a worker that knows the token has been served by the owner.
 constexpr double kTokenSettles = 10.0;
-// Owners send a heartbeat every 2 s. A worker is here 5 s after it lost the owner: if we lost the owner at the
-// same time, we know it by then.
+// Owners send a heartbeat every 2 s. A worker is here 5 s after it lost the owner: if we lost the owner at
+// the same time, we know it by then.
 constexpr double kHeartbeatTimeout = 4.5;
 // A worker that stays with us reports at least this often.
 constexpr double kStays = 8.0;
--- a/src/coordination/summary.cpp
+++ b/src/coordination/summary.cpp
@@ -107,7 +107,11 @@
   Json hints = Json::array();
   for (const WaitingHint& hint : waiting)
     hints.push_back({to_list(hint.demand), hint.urgency, hint.loaner, hint.starving, hint.startable});
-  return {{"draining", draining}, {"winding", winding}, {"gone", gone}, {"waiting", std::move(hints)}};
+  return {{"draining", draining},
+          {"winding", winding},
+          {"gone", gone},
+          {"waiting", std::move(hints)},
+          {"headroom", headroom_share}};
 }
 
 FleetOrders FleetOrders::from_json(const Json& value) {
@@ -115,11 +119,11 @@
   try {
     out.draining = value.at("draining").get<std::vector<std::string>>();
     out.winding = value.at("winding").get<std::vector<std::string>>();
+    out.headroom_share = value.value("headroom", 0.0);
     out.gone = value.at("gone").get<std::vector<std::string>>();
     for (const Json& hint : value.at("waiting")) {
-      out.waiting.push_back(
-          {from_list(hint.at(0)), hint.at(1).get<int>(), hint.at(2).get<bool>(), hint.at(3).get<bool>(),
-           hint.size() > 4 && hint.at(4).get<bool>()});
+      out.waiting.push_back({from_list(hint.at(0)), hint.at(1).get<int>(), hint.at(2).get<bool>(),
+                             hint.at(3).get<bool>(), hint.size() > 4 && hint.at(4).get<bool>()});
     }
   } catch (const Json::exception&) {
     return {};
--- a/src/coordination/summary.hpp
+++ b/src/coordination/summary.hpp
@@ -69,6 +69,7 @@
   std::vector<std::string> winding;
   std::vector<std::string> gone;  // the cloud confirmed it
   std::vector<WaitingHint> waiting;
+  double headroom_share = 0;  // of the machines' cores, kept free of best-effort work
 
   [[nodiscard]] Json to_json() const;
   static FleetOrders from_json(const Json& value);
--- a/src/scheduling/preemption.hpp
+++ b/src/scheduling/preemption.hpp
@@ -20,8 +20,8 @@
   double lost = 0;
 };
 
-// The tasks whose end makes `room` large enough for `needed`, taken in order of their loss, without those that
-// turn out not to be needed. Nothing when more than `most_lost` would be lost.
+// The tasks whose end makes `room` large enough for `needed`, taken in order of their loss, without those
+// that turn out not to be needed. Nothing when more than `most_lost` would be lost.
 Preemption choose_preemption(const Resources& room, const Resources& needed,
                              std::vector<PreemptionCandidate> candidates, double most_lost);
 
--- a/tests/reachability_test.cpp
+++ b/tests/reachability_test.cpp
@@ -103,8 +103,8 @@
   EXPECT_EQ(relay.size(), 1u);
 }
 
-// Incident ae2d: a controller that no machine reached, with everything else in order, kept its shards for 40 s
-// while the leases of all its machines ran out, 264 tasks with them.
+// Incident ae2d: a controller that no machine reached, with everything else in order, kept its shards for 40
+// s while the leases of all its machines ran out, 264 tasks with them.
 TEST_P(Reachability, AnOwnerIsCutFromItsWorkers) {
   World world(options());
   add_long_jobs(world);
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -622,11 +622,18 @@
   at(1, [this] { check_rules(); });
 }
 
+// Responders that are dropped unanswered say 503, and their answers would become events of a world that ends.
 World::~World() {
-  for (Process& process : nodes) process.node.reset();
+  over_ = true;
+  for (Process& process : nodes) {
+    process.node.reset();
+    process.held.clear();
+  }
+  events_.clear();
 }
 
 void World::at(double time, std::function<void()> action) {
+  if (over_) return;
   events_.push_back({std::max(time, now), order_++, std::move(action)});
   std::push_heap(events_.begin(), events_.end());
 }
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -297,7 +297,7 @@
   std::map<std::string, double> cut_until;
   int starts = 0;
   int lost_to_leases = 0;  // tasks that were on a machine when its lease ended
-  int late_starts = 0;  // after the user was told that the job is cancelled
+  int late_starts = 0;     // after the user was told that the job is cancelled
   // Hears of each transaction that was carried out, before its answer leaves.
   std::function<void(const std::string& from, const Json& body)> on_commit;
   std::function<void(const std::string& ref)> on_last_done;  // the last task of a job has just completed
@@ -340,6 +340,7 @@
   [[nodiscard]] bool could_run(const UserJob& job) const;
   int pick_node();
 
+  bool over_ = false;
   std::vector<Event> events_;  // a heap
   std::uint64_t order_ = 0;
 };
