--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -20,8 +20,8 @@
   // Largest request bodies: of users and workers as the protocol says; of other nodes by need. (A part's
   // summary names all its machines, at some 180 bytes each: with 350 of them it is over 64 KiB, and turned
   // down unseen the fleet would hear nothing of the part and rent nothing for it.)
-  static constexpr std::size_t kFrontBody = 64 * 1024;
-  static constexpr std::size_t kBackBody = 2 * 1024 * 1024;
+  static constexpr std::size_t kFrontBody = std::size_t{64} * 1024;
+  static constexpr std::size_t kBackBody = std::size_t{2} * 1024 * 1024;
   // Of the sockets, what users and workers may use: one node may have to bear everybody's.
   static std::size_t most_front_connections(const Settings& settings);
 
--- a/src/coordination/part.hpp
+++ b/src/coordination/part.hpp
@@ -149,7 +149,7 @@
     std::vector<Request> requests;
     std::vector<JobPtr> jobs;
   };
-  void place_greedily(Machine& machine, Candidates candidates);
+  void place_greedily(Machine& machine, Candidates& candidates);
   [[nodiscard]] bool starving(const Job& job) const;
   [[nodiscard]] std::map<int, const Job*> saving() const;
   [[nodiscard]] static double age_bonus(const Job& job, double wall);
@@ -225,6 +225,7 @@
   [[nodiscard]] double page_gap() const;
   Placement* find_placement(const std::string& machine, std::uint64_t try_no);
   void folded(const JobPtr& job, const std::string& name, const RangeSet& done);
+  [[nodiscard]] std::vector<JobPtr> jobs_to_end() const;
   bool commit_dones();
   bool commit_rest();
   // `conflict` may settle failed guards on keys of others and return true; otherwise the part is given up.
--- a/src/coordination/part_commit.cpp
+++ b/src/coordination/part_commit.cpp
@@ -591,16 +591,29 @@
 // The last completion of a job ends it. Before that, completions are in the journal's pages, and are folded
 // into the job's own record when they have grown long there. Blocks that others have completed are taken into
 // it and deleted.
+// Jobs whose ending can be written, urgent ones first. (A swarm of one-task jobs brings more endings than the
+// state service takes changes: in the order of their names, urgent jobs were told to be done minutes late.)
+std::vector<JobPtr> Part::jobs_to_end() const {
+  std::vector<JobPtr> out;
+  for (const auto& [name, job] : jobs_) {
+    const bool busy = job->finishing || job->cancelling || job->head.aborted || job->progress_inflight;
+    if (!job->borrowed() && !busy && job->complete() && job->lent_all_complete()) out.push_back(job);
+  }
+  std::stable_sort(out.begin(), out.end(), [](const JobPtr& a, const JobPtr& b) {
+    return a->spec().urgency != b->spec().urgency ? a->spec().urgency > b->spec().urgency
+                                                  : a->head.submitted < b->head.submitted;
+  });
+  return out;
+}
+
 bool Part::commit_dones() {
   Transaction txn = guarded();
   std::vector<JobPtr> finished;
   std::vector<std::pair<JobPtr, RangeSet>> saved;
   std::vector<std::pair<JobPtr, std::string>> merged;
   const auto most = static_cast<std::size_t>(ctx_.state->writes_per_txn());
-  for (auto& [ref, job] : jobs_) {
-    if (job->borrowed() || job->finishing || job->cancelling || job->head.aborted || job->progress_inflight)
-      continue;
-    if (!job->complete() || !job->lent_all_complete()) continue;
+  for (const JobPtr& job : jobs_to_end()) {
+    const std::string& ref = job->spec().ref;
     const std::size_t needs = 3 + job->lent.size();
     if (needs > most || txn.then.size() + needs > most) continue;
     job->finishing = true;
--- a/src/coordination/part_fill.cpp
+++ b/src/coordination/part_fill.cpp
@@ -15,6 +15,12 @@
 constexpr double kAgeFrom = 90;        // seconds since submission; then a unit of preference
 constexpr double kAgeWeight = 45;      // every so many
 constexpr double kBytesPerRange = 12;  // of progress text, at the most
+
+// The machine will be taken away: what can save does so now and goes on elsewhere.
+bool saves_before_it_is_killed(const Machine& machine, const Placement& placement) {
+  const bool goes = machine.warned_at || (machine.draining && machine.sick);
+  return goes && placement.phase == PiecePhase::kRunning && placement.job->spec().snapshot_every_s > 0;
+}
 }  // namespace
 
 // Cores of the smallest allowed type that can hold such a task; without one, of none.
@@ -196,12 +202,12 @@
     candidates.requests.push_back(request);
     candidates.jobs.push_back(job);
   }
-  place_greedily(machine, std::move(first));
-  place_greedily(machine, std::move(best_effort));
+  place_greedily(machine, first);
+  place_greedily(machine, best_effort);
 }
 
 // Takes one task of the job with the highest preference, and scores again, until nothing fits.
-void Part::place_greedily(Machine& machine, Candidates candidates) {
+void Part::place_greedily(Machine& machine, Candidates& candidates) {
   auto& [requests, jobs] = candidates;
   const double now = ctx_.env->now();
   const double wall = ctx_.env->wall();
@@ -266,11 +272,8 @@
     if (placement.seen_tick == machine.tick && machine.tick != 0) {
       if (unwanted) {
         orders.push_back({Order::Verb::kStop, piece, placement.try_no, 0});
-      } else if (placement.preempted && placement.phase != PiecePhase::kSaving) {
-        orders.push_back({Order::Verb::kStop, piece, placement.try_no, stop_grace_s(job.spec())});
-      } else if ((machine.warned_at || (machine.draining && machine.sick)) &&
-                 placement.phase == PiecePhase::kRunning && job.spec().snapshot_every_s > 0) {
-        // It will be killed; what can save does so now and goes on elsewhere.
+      } else if (placement.preempted ? placement.phase != PiecePhase::kSaving
+                                     : saves_before_it_is_killed(machine, placement)) {
         orders.push_back({Order::Verb::kStop, piece, placement.try_no, stop_grace_s(job.spec())});
       }
     } else if (!unwanted && !placement.preempted && may_launch && machine.welcome()) {
--- a/src/coordination/part_preempt.cpp
+++ b/src/coordination/part_preempt.cpp
@@ -33,6 +33,8 @@
 // Long tasks that cannot save and leave most of their machine free are packed onto machines that have such
 // tasks already: one of them on every machine would leave no room for large tasks anywhere.
 constexpr double kLongTask = 30.0;
+// So short a task is over about when it could have been stopped for others.
+constexpr double kShortTask = 8.0;
 constexpr double kPackingPatience = 5.0;
 
 bool saves(const JobSpec& spec) { return spec.snapshot_every_s > 0; }
@@ -89,7 +91,9 @@
 // Whether best-effort work may start on the machine at all. (What has waited for long beside room may.)
 bool Part::open_to_best_effort(const Job& job, const Machine& machine, bool quiet) const {
   if (overlooked(job)) return true;
-  if (!quiet || beyond_headroom_ < job.demand[0]) return false;
+  const bool wanted_now = machine.wanted_at == ctx_.env->now();
+  const bool short_task = job.spec().guess_s <= kShortTask;
+  if (short_task ? wanted_now : !quiet || beyond_headroom_ < job.demand[0]) return false;
   // Ordinary machines are dear, and go back as soon as they are idle.
   if (!machine.record.loaner && job.spec().loaner) return false;
   if (!breaks_up(job, machine)) return true;
--- a/src/transport/event_env.cpp
+++ b/src/transport/event_env.cpp
@@ -166,8 +166,8 @@
     exchange->wire->connection = evhttp_connection_base_new(base_, nullptr, pool.host.c_str(), pool.port);
     if (exchange->wire->connection != nullptr) {
       evhttp_connection_set_family(exchange->wire->connection, AF_INET);
-      evhttp_connection_set_max_headers_size(exchange->wire->connection, 16 * 1024);
-      evhttp_connection_set_max_body_size(exchange->wire->connection, 4 * 1024 * 1024);
+      evhttp_connection_set_max_headers_size(exchange->wire->connection, std::int64_t{16} * 1024);
+      evhttp_connection_set_max_body_size(exchange->wire->connection, std::int64_t{4} * 1024 * 1024);
       evhttp_connection_set_timeout(exchange->wire->connection, 90);
     }
   }
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -10,7 +10,7 @@
 namespace mothslip {
 
 namespace {
-constexpr std::size_t kMaxHeaders = 8 * 1024;
+constexpr std::size_t kMaxHeaders = std::size_t{8} * 1024;
 constexpr int kIdleSeconds = 45;
 
 const char* method_name(evhttp_cmd_type type) {
