Preemption costs nothing where there is no best-effort work

Preemption looked through jobs and machines at each report and tick, and parts offered room that was not free yet. Both are done only while a best-effort job is there.

--- a/src/coordination/part.cpp
+++ b/src/coordination/part.cpp
@@ -606,8 +606,8 @@
     }
   }
   raise_batons();
+  look_for_best_effort();
   preempt();
-  measure_headroom();
   pump();
   press_cancels();
   if (ctx_.parts > 1) {
--- a/src/coordination/part.hpp
+++ b/src/coordination/part.hpp
@@ -174,6 +174,7 @@
   [[nodiscard]] Yieldable yieldable(Machine& machine) const;
   void preempt_for(const Job& job, int count, std::vector<Yieldable>& machines, std::size_t& stops_left);
   void preempt();
+  void look_for_best_effort();
   void measure_headroom();
   // A machine's room counts while its last report is no older. (An idle one's reports are held.)
   [[nodiscard]] double fresh_s() const { return 2 * ctx_.settings->report_s + 2; }
@@ -286,6 +287,7 @@
   std::set<std::string> returned_;          // late copies of their reports still come
   std::vector<WaitingHint> elsewhere_;      // what waits at other parts, as the fleet told last
   double headroom_share_ = 0;               // of our machines' cores, kept free of best-effort work
+  bool best_effort_here_ = false;           // a job of ours is best-effort work
   double beyond_headroom_ = 0;              // cores that are free beyond that
   bool waking_ = false;
   int raising_ = 0;         // direct commands under way that only show our token
--- a/src/coordination/part_fill.cpp
+++ b/src/coordination/part_fill.cpp
@@ -167,7 +167,7 @@
   if (!fits({0.01, 0, 0}, machine.room)) return;
   const bool keep_for_large = keeps_for_large(machine);
   const std::map<int, const Job*> saved_for = saving();
-  const bool room_for_best_effort = quiet(machine);
+  const bool room_for_best_effort = best_effort_here_ && quiet(machine);
   Candidates first;
   Candidates best_effort;  // placed in what the others leave
   const double wall = ctx_.env->wall();
--- a/src/coordination/part_lending.cpp
+++ b/src/coordination/part_lending.cpp
@@ -257,8 +257,8 @@
   if (borrowing_ || now < next_borrow_ || state_silent() || !ctx_.lease_valid()) return;
   next_borrow_ = now + kBorrowEvery;
   // Others' work that goes before best-effort work gets the room of ours too.
-  const bool others_wait =
-      std::any_of(elsewhere_.begin(), elsewhere_.end(), [](const auto& hint) { return hint.startable; });
+  const bool others_wait = best_effort_here_ && std::any_of(elsewhere_.begin(), elsewhere_.end(),
+                                                            [](const auto& hint) { return hint.startable; });
   std::vector<std::pair<const Machine*, Resources>> rooms;
   for (const auto& [name, machine] : machines_) {
     if (machine->type < 0 || !machine->welcome() || now < machine->no_fill_until) continue;
--- a/src/coordination/part_preempt.cpp
+++ b/src/coordination/part_preempt.cpp
@@ -163,6 +163,14 @@
   }
 }
 
+// Without any, all of this costs nothing.
+void Part::look_for_best_effort() {
+  best_effort_here_ = std::any_of(jobs_.begin(), jobs_.end(), [](const auto& item) {
+    return item.second->spec().urgency == Urgency::kBestEffort;
+  });
+  if (best_effort_here_) measure_headroom();
+}
+
 // What other work will want next is best found free: a task that must be stopped first saves for seconds.
 void Part::measure_headroom() {
   double free = 0;
@@ -177,7 +185,7 @@
 
 // Stops best-effort tasks for other work that has waited for room for a moment.
 void Part::preempt() {
-  if (state_silent() || !ctx_.lease_valid()) return;
+  if (!best_effort_here_ || state_silent() || !ctx_.lease_valid()) return;
   const double wall = ctx_.env->wall();
   std::vector<const Job*> waiting;
   for (const auto& [name, job] : jobs_) {
