--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -89,8 +89,8 @@
   std::string at_;
 };
 
-// (A guest team has neither guarantee nor limit, both 0. Taken for a limit of nothing, all its jobs were refused
-// with 422.)
+// (A guest team has neither guarantee nor limit, both 0. Taken for a limit of nothing, all its jobs were
+// refused with 422.)
 double limit_or_unlimited(double limit) { return limit > 0 ? limit : kUnlimited; }
 
 std::string read_file(const std::string& file) {
