Reread: one order of jobs, one test of what can save, a parameter that hid a method renamed

goes_before and JobSpec::saves replace what stood twice and four times; the comment on packing stands at its constants again.

--- a/src/bookkeeping/ledger.hpp
+++ b/src/bookkeeping/ledger.hpp
@@ -27,9 +27,7 @@
 };
 
 // How long a task that is stopped, but not cancelled, has to save what it has done.
-inline double stop_grace_s(const JobSpec& spec) {
-  return spec.snapshot_every_s > 0 ? spec.snapshot_cost_s + 1 : 0;
-}
+inline double stop_grace_s(const JobSpec& spec) { return spec.saves() ? spec.snapshot_cost_s + 1 : 0; }
 
 // A job at its home part, or a block of one that this part has borrowed.
 struct Job {
@@ -116,6 +114,12 @@
 };
 using JobPtr = std::shared_ptr<Job>;
 
+// The more urgent first, then the older.
+inline bool goes_before(const Job& a, const Job& b) {
+  return a.spec().urgency != b.spec().urgency ? a.spec().urgency > b.spec().urgency
+                                              : a.head.submitted < b.head.submitted;
+}
+
 struct Placement {
   enum class Stage {
     kNew,       // in memory only; no launch may be sent
--- a/src/coordination/part.hpp
+++ b/src/coordination/part.hpp
@@ -170,7 +170,7 @@
   [[nodiscard]] bool wants_room(const Job& job) const;
   [[nodiscard]] bool wanted_by_others(Machine& machine) const;
   [[nodiscard]] bool quiet(Machine& machine) const;
-  [[nodiscard]] bool open_to_best_effort(const Job& job, const Machine& machine, bool quiet) const;
+  [[nodiscard]] bool open_to_best_effort(const Job& job, const Machine& machine, bool is_quiet) const;
   [[nodiscard]] Yieldable yieldable(Machine& machine) const;
   void preempt_for(const Job& job, int count, std::vector<Yieldable>& machines, std::size_t& stops_left);
   void preempt();
--- a/src/coordination/part_commit.cpp
+++ b/src/coordination/part_commit.cpp
@@ -599,10 +599,8 @@
     const bool busy = job->finishing || job->cancelling || job->head.aborted || job->progress_inflight;
     if (!job->borrowed() && !busy && job->complete() && job->lent_all_complete()) out.push_back(job);
   }
-  std::stable_sort(out.begin(), out.end(), [](const JobPtr& a, const JobPtr& b) {
-    return a->spec().urgency != b->spec().urgency ? a->spec().urgency > b->spec().urgency
-                                                  : a->head.submitted < b->head.submitted;
-  });
+  std::stable_sort(out.begin(), out.end(),
+                   [](const JobPtr& a, const JobPtr& b) { return goes_before(*a, *b); });
   return out;
 }
 
--- a/src/coordination/part_fill.cpp
+++ b/src/coordination/part_fill.cpp
@@ -19,7 +19,7 @@
 // The machine will be taken away: what can save does so now and goes on elsewhere.
 bool saves_before_it_is_killed(const Machine& machine, const Placement& placement) {
   const bool goes = machine.warned_at || (machine.draining && machine.sick);
-  return goes && placement.phase == PiecePhase::kRunning && placement.job->spec().snapshot_every_s > 0;
+  return goes && placement.phase == PiecePhase::kRunning && placement.job->spec().saves();
 }
 }  // namespace
 
--- a/src/coordination/part_preempt.cpp
+++ b/src/coordination/part_preempt.cpp
@@ -33,15 +33,13 @@
 // Long tasks that cannot save and leave most of their machine free are packed onto machines that have such
 // tasks already: one of them on every machine would leave no room for large tasks anywhere.
 constexpr double kLongTask = 30.0;
+constexpr double kPackingPatience = 5.0;
 // So short a task is over about when it could have been stopped for others.
 constexpr double kShortTask = 8.0;
-constexpr double kPackingPatience = 5.0;
-
-bool saves(const JobSpec& spec) { return spec.snapshot_every_s > 0; }
 
 bool breaks_up(const Job& job, const Machine& machine) {
   const JobSpec& spec = job.spec();
-  return !saves(spec) && spec.guess_s > kLongTask && 2 * job.demand[0] <= machine.capacity[0];
+  return !spec.saves() && spec.guess_s > kLongTask && 2 * job.demand[0] <= machine.capacity[0];
 }
 }  // namespace
 
@@ -89,11 +87,11 @@
 }
 
 // Whether best-effort work may start on the machine at all. (What has waited for long beside room may.)
-bool Part::open_to_best_effort(const Job& job, const Machine& machine, bool quiet) const {
+bool Part::open_to_best_effort(const Job& job, const Machine& machine, bool is_quiet) const {
   if (overlooked(job)) return true;
   const bool wanted_now = machine.wanted_at == ctx_.env->now();
   const bool short_task = job.spec().guess_s <= kShortTask;
-  if (short_task ? wanted_now : !quiet || beyond_headroom_ < job.demand[0]) return false;
+  if (short_task ? wanted_now : !is_quiet || beyond_headroom_ < job.demand[0]) return false;
   // Ordinary machines are dear, and go back as soon as they are idle.
   if (!machine.record.loaner && job.spec().loaner) return false;
   if (!breaks_up(job, machine)) return true;
@@ -125,7 +123,7 @@
         (stops != job.stops.end() && stops->second >= kMostStops)) {
       continue;
     }
-    const double lost_s = kRestart + (saves(job.spec()) ? job.spec().snapshot_cost_s : ran);
+    const double lost_s = kRestart + (job.spec().saves() ? job.spec().snapshot_cost_s : ran);
     out.candidates.push_back({i, job.demand, lost_s * job.demand[0]});
   }
   return out;
@@ -203,10 +201,7 @@
     any = any || !machines.back().candidates.empty();
   }
   if (!any) return;
-  std::sort(waiting.begin(), waiting.end(), [](const Job* a, const Job* b) {
-    return a->spec().urgency != b->spec().urgency ? a->spec().urgency > b->spec().urgency
-                                                  : a->head.submitted < b->head.submitted;
-  });
+  std::sort(waiting.begin(), waiting.end(), [](const Job* a, const Job* b) { return goes_before(*a, *b); });
   std::size_t stops_left = kStopsPerTick;
   for (const Job* job : waiting) {
     if (stops_left == 0) break;
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -42,6 +42,9 @@
   double snapshot_every_s = 0;
   double snapshot_cost_s = 0;
   std::optional<double> due_s;
+
+  // Whether a task that is stopped can keep what it has done.
+  [[nodiscard]] bool saves() const { return snapshot_every_s > 0; }
 };
 
 bool valid_ref(const std::string& ref);
