Tests: users look closely at all nodes; answers of every kind are held against each other (red)

The simulated cluster's users have a file of their own. Every answer to a poll, a submission or a cancellation is checked against all that were received, by anyone and from any node, before its question was asked (AnswerHistory). Users can look closely: polls at all nodes within milliseconds, repeated submissions and cancellations, around each acceptance, cancellation and end. Answers of the state service can be lost or late for chosen transactions, and transactions lost.

--- /dev/null
+++ b/tests/sim/answer_history.cpp
@@ -0,0 +1,29 @@
+#include "sim/answer_history.hpp"
+
+#include <algorithm>
+
+namespace mothslip::sim {
+
+namespace {
+bool is_terminal(const std::string& phase) { return phase == "done" || phase == "aborted"; }
+}  // namespace
+
+std::optional<std::string> AnswerHistory::take(const JobAnswer& answer) {
+  if (!answer.known) {
+    if (answer.asked >= accepted_at_) return "forgotten: accepted, then unknown";
+    return std::nullopt;
+  }
+  accepted_at_ = std::min(accepted_at_, answer.received);
+  if (is_terminal(answer.phase)) {
+    // A job has one terminal state: it does not matter which of two was asked for first.
+    if (!terminal_.empty() && terminal_ != answer.phase)
+      return "went_back: " + terminal_ + ", then " + answer.phase;
+    terminal_ = answer.phase;
+    ended_at_ = std::min(ended_at_, answer.received);
+    return std::nullopt;
+  }
+  if (answer.asked >= ended_at_) return "went_back: " + terminal_ + ", then " + answer.phase;
+  return std::nullopt;
+}
+
+}  // namespace mothslip::sim
--- /dev/null
+++ b/tests/sim/users.cpp
@@ -0,0 +1,131 @@
+#include "sim/users.hpp"
+
+#include <utility>
+
+#include "sim/world.hpp"
+
+namespace mothslip::sim {
+
+namespace {
+constexpr double kSubmitPatience = 5;  // seconds for which users wait
+constexpr double kPollPatience = 2;
+constexpr double kPollEvery = 5;
+
+std::string phase_of(const HttpReply& reply) {
+  const Json body = parse_json(reply.body);
+  return body.is_object() ? body.value("phase", "") : "";
+}
+}  // namespace
+
+int Users::pick_node() {
+  return static_cast<int>(world_.rng() % static_cast<std::uint64_t>(world_.options.nodes));
+}
+
+void Users::ask(Question question, const std::string& ref, int node, Handler handler) {
+  HttpCall call{front_of(node), "GET", "/v2/runs/" + ref, "", kPollPatience};
+  if (question == Question::kSubmission) {
+    call = {front_of(node), "POST", "/v2/runs", dump_json(world_.jobs.at(ref).body), kSubmitPatience};
+  } else if (question == Question::kCancellation) {
+    call = {front_of(node), "POST", "/v2/runs/" + ref + "/cancel", "{}", kSubmitPatience};
+  }
+  world_.send(
+      "user", call,
+      [this, question, ref, asked = world_.now, handler = std::move(handler)](const HttpReply& reply) {
+        check(question, ref, asked, reply);
+        handler(reply);
+      });
+}
+
+// Every answer of every kind comes through here.
+void Users::check(Question question, const std::string& ref, double asked, const HttpReply& reply) {
+  UserJob& job = world_.jobs.at(ref);
+  if (question == Question::kSubmission && (reply.status == 400 || reply.status == 422)) {
+    world_.broken("forgotten: " + ref + " got " + std::to_string(reply.status));
+    return;
+  }
+  const bool known = reply.status == 200 || reply.status == 201;
+  if (!known && reply.status != 404) return;
+  const std::string phase = known ? phase_of(reply) : "";
+  const auto broken_rule = job.told.take({asked, world_.now, known, phase});
+  if (broken_rule) world_.broken(*broken_rule + " (" + ref + ")");
+  if (phase == "done") {
+    if (static_cast<int>(job.completed.size()) < job.pieces) world_.broken("not_done: " + ref);
+    job.told_done = true;
+  } else if (phase == "aborted") {
+    if (!job.cancel_asked) world_.broken("went_back: " + ref + " cancelled by nobody");
+    if (!job.told_aborted) job.aborted_at = world_.now;
+    if (!job.told_aborted && world_.options.close_looks) look_closely(ref, 20, 0.1);
+    job.told_aborted = true;
+  } else if (known && question == Question::kCancellation) {
+    world_.broken("cancel of " + ref + " answered " + phase);
+  }
+}
+
+void Users::submit(const std::string& ref, double give_up) {
+  if (world_.now > give_up) return;
+  ask(Question::kSubmission, ref, pick_node(), [this, ref, give_up](const HttpReply& reply) {
+    UserJob& job = world_.jobs.at(ref);
+    if (reply.status == 201 || reply.status == 200) {
+      const bool first = !std::exchange(job.accepted, true);
+      if (first && world_.options.close_looks) look_closely(ref, 4, 0.02);
+      // Some repeat it much later.
+      if (world_.uniform(0, 1) < 0.1) {
+        world_.in(world_.uniform(1, 40), [this, ref] { submit(ref, world_.now + 1); });
+      }
+      poll(ref);
+    } else if (reply.status != 400 && reply.status != 422) {
+      world_.in(world_.uniform(1, 2), [this, ref, give_up] { submit(ref, give_up); });
+    }
+  });
+}
+
+void Users::poll(const std::string& ref) {
+  ask(Question::kPoll, ref, pick_node(), [this, ref](const HttpReply& reply) {
+    UserJob& job = world_.jobs.at(ref);
+    if (reply.status == 200) {
+      job.asked_since = -1;
+    } else if (job.asked_since < 0) {
+      job.asked_since = world_.now;
+    }
+    if (reply.status != 200 || (!job.told_done && !job.told_aborted)) {
+      world_.in(kPollEvery, [this, ref] { poll(ref); });
+    } else if (world_.uniform(0, 1) < 0.5) {
+      world_.in(world_.uniform(5, 60), [this, ref] { poll(ref); });  // asks again much later
+    } else {
+      job.asked_since = -1;  // this user asks no more
+    }
+  });
+}
+
+void Users::cancel(const std::string& ref) {
+  UserJob& job = world_.jobs.at(ref);
+  if (!job.accepted) {
+    world_.in(2, [this, ref] { cancel(ref); });
+    return;
+  }
+  const bool first = !std::exchange(job.cancel_asked, true);
+  if (first && world_.options.close_looks) look_closely(ref, 40, 0.1);
+  ask(Question::kCancellation, ref, pick_node(), [this, ref](const HttpReply& reply) {
+    if (reply.status == 200) return;
+    world_.in(world_.uniform(1, 2), [this, ref] { cancel(ref); });
+  });
+}
+
+void Users::look_closely(const std::string& ref, int rounds, double gap_s) {
+  for (int i = 0; i < rounds; i++) {
+    world_.in(0.001 + i * gap_s, [this, ref] { look_at_all_nodes(ref); });
+  }
+}
+
+void Users::look_at_all_nodes(const std::string& ref) {
+  constexpr double kRepeats = 0.05;  // share of looks that repeat a submission or a cancellation
+  const auto nothing = [](const HttpReply&) {};
+  for (int node = 0; node < world_.options.nodes; node++) {
+    ask(Question::kPoll, ref, node, nothing);
+    if (world_.uniform(0, 1) < kRepeats) ask(Question::kSubmission, ref, node, nothing);
+    if (world_.jobs.at(ref).cancel_asked && world_.uniform(0, 1) < kRepeats)
+      ask(Question::kCancellation, ref, node, nothing);
+  }
+}
+
+}  // namespace mothslip::sim
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -16,7 +16,6 @@
 const char* const kState = "10.2.0.1:2379";
 const char* const kCloud = "10.2.0.2:8443";
 
-std::string front_of(int node) { return "10.0.0." + std::to_string(node + 1) + ":8080"; }
 std::string back_of(int node) { return "10.0.0." + std::to_string(node + 1) + ":8081"; }
 
 Settings settings_for(int node, const Options& options) {
@@ -60,6 +59,8 @@
 bool starts_with(const std::string& text, const std::string& prefix) { return text.rfind(prefix, 0) == 0; }
 }  // namespace
 
+std::string front_of(int node) { return "10.0.0." + std::to_string(node + 1) + ":8080"; }
+
 std::string node_name(int index) { return "roost-" + std::to_string(index); }
 
 void set_up_log() {
@@ -147,8 +148,20 @@
   serve_watches();
 }
 
+void StateService::write_again(const std::string& key) {
+  epoch_++;
+  stamps_[key] = epoch_;
+  changed(key, {{"put", key}, {"data", values_.at(key)}, {"stamp", epoch_}});
+  serve_watches();
+}
+
+void StateService::release_watches() {
+  hold_watches = false;
+  serve_watches();
+}
+
 bool StateService::answer_watch(Watch& watch) {
-  if (outage_) return false;
+  if (outage_ || hold_watches) return false;
   Json events = Json::array();
   const auto first =
       std::upper_bound(changes_.begin(), changes_.end(), watch.from,
@@ -190,7 +203,7 @@
     if (answer_watch(*watch)) return;
     watches_.push_back(watch);
     world_.in(std::stod(query(target, "wait_ms")) / 1000, [this, watch] {
-      if (watch->over || outage_) return;
+      if (watch->over || outage_ || hold_watches) return;
       watch->over = true;
       watch->reply(200, {{"epoch", epoch_}, {"events", Json::array()}});
     });
@@ -612,6 +625,7 @@
       options(options_in),
       state(*this),
       cloud(*this),
+      users(*this),
       nodes(static_cast<std::size_t>(options_in.nodes)) {
   if (options.parts > 0) {
     const Json meta = {{"parts", options.parts}, {"form", kRecordForm}};
@@ -819,16 +833,24 @@
       drop_state_answers--;
       return state.handle(call.method, call.path, call.body, [](int, const Json&) {});
     }
-    if (call.path == "/commit" && on_commit) {
+    if (call.path == "/commit" && lose_commit && lose_commit(from, parse_json(call.body))) return;
+    if (state_unheard.count(from) > 0) {
+      return state.handle(call.method, call.path, call.body, [](int, const Json&) {});
+    }
+    if (call.path == "/commit" && (on_commit || commit_answer)) {
       return state.handle(call.method, call.path, call.body,
                           [this, from, call, answer](int status, Json body) {
-                            if (status == 200) on_commit(from, parse_json(call.body));
-                            answer(status, body);
+                            const Json txn = parse_json(call.body);
+                            if (status == 200 && on_commit) on_commit(from, txn);
+                            const double later = commit_answer ? commit_answer(from, txn) : 0;
+                            if (later < 0) return;
+                            in(later, [answer, status, body] { answer(status, body); });
                           });
     }
     if (call.path.rfind("/changes", 0) == 0) {
       return state.handle(call.method, call.path, call.body,
                           [this, from, answer](int status, const Json& body) {
+                            if (state_unheard.count(from) > 0) return;
                             answer_unrefused(from, [answer, status, body] { answer(status, body); });
                           });
     }
@@ -872,8 +894,6 @@
 
 // ---------------------------------------------------------------- users
 
-int World::pick_node() { return static_cast<int>(rng() % static_cast<std::uint64_t>(options.nodes)); }
-
 void World::submit(UserJob job) {
   const std::string ref = job.ref;
   const double when = job.submit_at;
@@ -881,95 +901,12 @@
   job.cores = job.body["cores"];
   job.owner = job.body["owner"];
   jobs.emplace(ref, std::move(job));
-  at(when, [this, ref] { user_submit(ref, now + 60); });
+  at(when, [this, ref] { users.submit(ref, now + 60); });
   if (cancel >= 0) {
-    at(cancel, [this, ref] { user_cancel(ref); });
+    at(cancel, [this, ref] { users.cancel(ref); });
   }
 }
 
-void World::user_submit(const std::string& ref, double give_up) {
-  if (now > give_up) return;
-  HttpCall call{front_of(pick_node()), "POST", "/v2/runs", dump_json(jobs.at(ref).body), 5};
-  send("user", call, [this, ref, give_up](const HttpReply& reply) {
-    UserJob& job = jobs.at(ref);
-    if (reply.status == 201 || reply.status == 200) {
-      job.accepted = true;
-      if (uniform(0, 1) < 0.1)
-        in(uniform(1, 40), [this, ref] { user_submit(ref, now + 1); });  // a late repeat
-      user_poll(ref);
-    } else if (reply.status == 400 || reply.status == 422) {
-      broken("forgotten: " + ref + " got " + std::to_string(reply.status));
-    } else {
-      in(uniform(1, 2), [this, ref, give_up] { user_submit(ref, give_up); });
-    }
-  });
-}
-
-void World::user_poll(const std::string& ref) {
-  HttpCall call{front_of(pick_node()), "GET", "/v2/runs/" + ref, "", 2};
-  const bool was_done = jobs.at(ref).told_done;
-  const bool was_aborted = jobs.at(ref).told_aborted;
-  send("user", call, [this, ref, was_done, was_aborted](const HttpReply& reply) {
-    UserJob& job = jobs.at(ref);
-    if (reply.status == 404) broken("forgotten: " + ref + " is unknown");
-    if (reply.status == 200) {
-      job.asked_since = -1;
-    } else if (job.asked_since < 0) {
-      job.asked_since = now;
-    }
-    if (reply.status == 200) {
-      const std::string phase = parse_json(reply.body).value("phase", "");
-      if (phase == "done") {
-        if (static_cast<int>(job.completed.size()) < job.pieces) broken("not_done: " + ref);
-        if (was_aborted) broken("went_back: " + ref + " cancelled, then done");
-        job.told_done = true;
-      } else if (phase == "aborted") {
-        if (was_done) broken("went_back: " + ref + " done, then cancelled");
-        if (!job.cancel_asked) broken("went_back: " + ref + " cancelled by nobody");
-        if (!job.told_aborted) job.aborted_at = now;
-        job.told_aborted = true;
-      } else if (was_done || was_aborted) {
-        broken("went_back: " + ref + " ended, then " + phase);
-      }
-    }
-    if (reply.status != 200 || (!job.told_done && !job.told_aborted)) {
-      in(5, [this, ref] { user_poll(ref); });
-    } else if (uniform(0, 1) < 0.5) {
-      in(uniform(5, 60), [this, ref] { user_poll(ref); });  // ask again much later
-    } else {
-      job.asked_since = -1;  // this user asks no more
-    }
-  });
-}
-
-void World::user_cancel(const std::string& ref) {
-  UserJob& job = jobs.at(ref);
-  if (!job.accepted) {
-    in(2, [this, ref] { user_cancel(ref); });
-    return;
-  }
-  job.cancel_asked = true;
-  HttpCall call{front_of(pick_node()), "POST", "/v2/runs/" + ref + "/cancel", "{}", 5};
-  send("user", call, [this, ref](const HttpReply& reply) {
-    UserJob& found = jobs.at(ref);
-    if (reply.status == 404) broken("forgotten: cancel of " + ref + " got 404");
-    if (reply.status == 200) {
-      const std::string phase = parse_json(reply.body).value("phase", "");
-      if (phase == "aborted") {
-        if (!found.told_aborted) found.aborted_at = now;
-        found.told_aborted = true;
-      } else if (phase == "done") {
-        if (static_cast<int>(found.completed.size()) < found.pieces) broken("not_done: cancel of " + ref);
-        found.told_done = true;
-      } else {
-        broken("cancel of " + ref + " answered " + phase);
-      }
-      return;
-    }
-    in(uniform(1, 2), [this, ref] { user_cancel(ref); });
-  });
-}
-
 // ---------------------------------------------------------------- rules
 
 void World::on_start(Worker& worker, const Task& task) {
@@ -1012,7 +949,9 @@
   UserJob& job = *task.job;
   const bool last =
       job.completed.insert(task.index).second && static_cast<int>(job.completed.size()) == job.pieces;
-  if (last && on_last_done) on_last_done(task.ref);
+  if (!last) return;
+  if (on_last_done) on_last_done(task.ref);
+  if (options.close_looks) users.look_closely(task.ref, 40, 0.1);
 }
 
 void World::check_rules() {
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -13,6 +13,8 @@
 
 #include "coordination/node.hpp"
 #include "protocol/settings.hpp"
+#include "sim/answer_history.hpp"
+#include "sim/users.hpp"
 #include "transport/env.hpp"
 #include "transport/token_bucket.hpp"
 
@@ -21,6 +23,8 @@
 class World;
 
 std::string node_name(int index);
+// The address at which a node serves users and workers.
+std::string front_of(int node);
 // Simulated days are silent unless SIM_LOG is set.
 void set_up_log();
 
@@ -56,6 +60,9 @@
   int too_many = 0;   // calls answered 429
   int changes_made = 0;
   void spoil(const std::string& key) { values_[key] = "spoiled"; }  // as if written by something else
+  void write_again(const std::string& key);  // the same value under a new revision, by something else
+  bool hold_watches = false;                 // open watches tell nothing
+  void release_watches();
   [[nodiscard]] const std::map<std::string, Json>& values() const { return values_; }
   [[nodiscard]] std::uint64_t stamp(const std::string& key) const;
 
@@ -205,6 +212,7 @@
   double waits_beside_room = -1;  // since when a task waits while a machine has room for it
   std::map<int, int> starts;      // by task
   double asked_since = -1;        // questions that nobody has answered yet go back to here
+  AnswerHistory told;
   std::set<int> completed;
 };
 
@@ -231,6 +239,7 @@
   double cloud_rps = 2;
   std::size_t page = 7;      // items a page of the state service: small, so that paging is always used
   bool rate_limits = false;  // the state service and the cloud answer 429
+  bool close_looks = false;  // users ask at all nodes around each acceptance, cancellation and end of a job
 };
 
 class World {
@@ -260,8 +269,8 @@
   // Sends a message over the simulated network. Exactly one reply; {0} is silence.
   void send(const std::string& from, const HttpCall& call, std::function<void(HttpReply)> reply);
   void submit(UserJob job);
-  void call_off(const std::string& ref) { user_cancel(ref); }
-  void submit_again(const std::string& ref) { user_submit(ref, now + 1); }
+  void call_off(const std::string& ref) { users.cancel(ref); }
+  void submit_again(const std::string& ref) { users.submit(ref, now + 1); }
 
   [[nodiscard]] bool reachable(const std::string& a, const std::string& b) const;
   void broken(const std::string& rule);
@@ -279,6 +288,7 @@
   Settings base;
   StateService state;
   Cloud cloud;
+  Users users;
   std::map<std::string, std::unique_ptr<Worker>> workers;
   std::unordered_map<std::string, Worker*> by_address;
   std::map<std::string, UserJob> jobs;
@@ -300,6 +310,12 @@
   int late_starts = 0;     // after the user was told that the job is cancelled
   // Hears of each transaction that was carried out, before its answer leaves.
   std::function<void(const std::string& from, const Json& body)> on_commit;
+  // How much later than usual the answer to a commit arrives, in seconds; negative: it is lost.
+  std::function<double(const std::string& from, const Json& body)> commit_answer;
+  // Which transactions are lost on their way: they are never carried out.
+  std::function<bool(const std::string& from, const Json& body)> lose_commit;
+  std::set<std::string>
+      state_unheard;  // nodes that no answer of the state service reaches; their calls arrive
   std::function<void(const std::string& ref)> on_last_done;  // the last task of a job has just completed
   bool hold_commits =
       false;  // transactions with a change wait until this is over, whoever gives up meanwhile
@@ -332,13 +348,9 @@
   void answer_unrefused(const std::string& node, std::function<void()> answer);
   void watch_answer(const std::string& from, const std::string& node, const HttpCall& call,
                     const HttpAnswer& out, bool copy);
-  void user_submit(const std::string& ref, double give_up);
-  void user_poll(const std::string& ref);
-  void user_cancel(const std::string& ref);
   void check_rules();
   void check_waiting();
   [[nodiscard]] bool could_run(const UserJob& job) const;
-  int pick_node();
 
   bool over_ = false;
   std::vector<Event> events_;  // a heap
--- /dev/null
+++ b/tests/went_back_test.cpp
@@ -0,0 +1,325 @@
+// No answer about a job is older than one that any node gave before its question was asked. Users ask at all
+// nodes within milliseconds around each acceptance, cancellation and end, while the state service's word
+// reaches the shard's owner late or not at all. (What each case guards against is in docs/incidents.)
+#include <gtest/gtest.h>
+
+#include "bookkeeping/records.hpp"
+#include "sim/answer_history.hpp"
+#include "sim/checks.hpp"
+#include "sim/days.hpp"
+#include "sim/world.hpp"
+
+using namespace mothslip;
+using namespace mothslip::sim;
+
+namespace {
+
+constexpr double kLost = -1;
+
+bool changes_key(const Json& transaction, const char* verb, const std::string& prefix) {
+  for (const Json& change : transaction["then"]) {
+    if (change.value(verb, "").rfind(prefix, 0) == 0) return true;
+  }
+  return false;
+}
+
+// It ends a job: its ending is written.
+bool is_ending(const Json& transaction) { return changes_key(transaction, "put", "e/"); }
+
+// It cancels one: the head is written again, though it exists.
+bool is_cancellation(const Json& transaction) {
+  for (const Json& guard : transaction["guards"]) {
+    const bool head = guard["k"].get<std::string>().rfind(keys::kHeads, 0) == 0;
+    if (head && guard["stamp"] != 0 && changes_key(transaction, "put", guard["k"])) return true;
+  }
+  return false;
+}
+
+class WentBack : public ::testing::TestWithParam<int> {
+ protected:
+  void SetUp() override { set_up_log(); }
+  static Options options() {
+    Options out;
+    out.seed = static_cast<std::uint64_t>(GetParam()) + 300;
+    out.nodes = GetParam() % 2 == 0 ? 5 : 3;
+    out.loss = 0;
+    out.close_looks = true;
+    return out;
+  }
+  // No node reaches another.
+  static void cut_all_peers(World& world) {
+    for (int a = 0; a < world.options.nodes; a++) {
+      for (int b = 0; b < a; b++) world.cuts.insert({node_name(a), node_name(b)});
+    }
+  }
+};
+
+}  // namespace
+
+// The transaction that ends a job is carried out, and its answer is lost. Nodes that do not reach the owner
+// read the ending and tell it; the owner must not say "running" until it has found out.
+TEST_P(WentBack, TheAnswerToAnEndingIsLost) {
+  World world(options());
+  world.hold_share = 0;
+  add_jobs(world, 2, 100);
+  int lost = 0;
+  world.commit_answer = [&lost](const std::string&, const Json& transaction) {
+    if (!is_ending(transaction)) return 0.0;
+    lost++;
+    return kLost;
+  };
+  world.at(20, [&world] { cut_all_peers(world); });
+  world.at(130, [&world] {
+    world.mend_nodes();
+    world.commit_answer = nullptr;
+  });
+  world.troubles_end = 130;
+  world.run_until(500);
+  expect_kept(world);
+  EXPECT_GT(lost, 5);
+}
+
+// The same with an answer that is merely slow.
+TEST_P(WentBack, TheAnswerToAnEndingIsSlow) {
+  World world(options());
+  world.hold_share = 0;
+  add_jobs(world, 2, 100);
+  int slow = 0;
+  world.commit_answer = [&](const std::string&, const Json& transaction) {
+    if (!is_ending(transaction)) return 0.0;
+    slow++;
+    return world.uniform(0.2, 1.4);
+  };
+  world.at(20, [&world] { cut_all_peers(world); });
+  world.at(130, [&world] {
+    world.mend_nodes();
+    world.commit_answer = nullptr;
+  });
+  world.troubles_end = 130;
+  world.run_until(500);
+  expect_kept(world);
+  EXPECT_GT(slow, 5);
+}
+
+// The transaction that cancels a job is carried out, and its answer is lost.
+TEST_P(WentBack, TheAnswerToACancellationIsLost) {
+  World world(options());
+  world.hold_share = 0;
+  add_jobs(world, 2, 90);
+  int lost = 0;
+  world.commit_answer = [&lost](const std::string&, const Json& transaction) {
+    if (!is_cancellation(transaction)) return 0.0;
+    lost++;
+    return kLost;
+  };
+  world.at(20, [&world] { cut_all_peers(world); });
+  for (double t = 25; t < 110; t += 6) {
+    world.at(t, [&world] {
+      for (auto& [ref, job] : world.jobs) {
+        if (job.accepted && !job.told_done && world.rng() % 4 == 0) world.call_off(ref);
+      }
+    });
+  }
+  world.at(130, [&world] {
+    world.mend_nodes();
+    world.commit_answer = nullptr;
+  });
+  world.troubles_end = 130;
+  world.run_until(500);
+  expect_kept(world);
+  EXPECT_GT(lost, 3);
+}
+
+// A node sends a shard home; the deletion is carried out, and no answer of the state service reaches the
+// node. The next owner cancels jobs at once, while the old one's lease is still good.
+TEST_P(WentBack, TheAnswerToAHandBackIsLost) {
+  World world(options());
+  world.hold_share = 0;
+  // More than the machines can hold: a job of which nothing has started is cancelled at once.
+  for (int i = 0; i < 40; i++) world.submit(plain_job(world, i, world.uniform(2, 20), 10, 100));
+  world.at(24, [&world] { world.crash_node(0, 10); });
+  int handed_back = 0;
+  world.commit_answer = [&](const std::string& from, const Json& transaction) {
+    if (!changes_key(transaction, "delete", keys::part(0)) || handed_back++ > 0) return 0.0;
+    world.state_unheard.insert(from);
+    cut_all_peers(world);
+    world.cut_from_workers(from.back() - '0');
+    world.in(3, [&world] {
+      world.state_unheard.clear();
+      world.mend_nodes();
+    });
+    for (const double t : {0.1, 0.3, 0.5, 0.8}) {
+      world.in(t, [&world] {
+        for (auto& [ref, job] : world.jobs) {
+          if (job.accepted && part_of(ref, world.options.nodes) == 0) world.call_off(ref);
+        }
+      });
+    }
+    return kLost;
+  };
+  world.troubles_end = 70;
+  world.run_until(75);
+  EXPECT_TRUE(world.violations.empty()) << world.summary();
+  EXPECT_GT(handed_back, 0);
+  int cancelled = 0;
+  for (const auto& [ref, job] : world.jobs) cancelled += job.told_aborted ? 1 : 0;
+  EXPECT_GT(cancelled, 0);
+}
+
+// The transaction that ends a job is lost on its way, and something else changes one of the records on which
+// it depends: the repeat is refused, and that must not be taken for the first copy's success.
+TEST_P(WentBack, AnEndingThatWasNeverWritten) {
+  World world(options());
+  world.hold_share = 0;
+  for (int i = 0; i < 12; i++) world.submit(plain_job(world, i, world.uniform(2, 9), 12, 25));
+  std::set<std::string> spoiled;
+  world.lose_commit = [&](const std::string&, const Json& transaction) {
+    if (!is_ending(transaction)) return false;
+    for (const Json& change : transaction["then"]) {
+      const std::string block = change.value("delete", "");
+      if (block.rfind(keys::kBlocks, 0) != 0 || !spoiled.insert(block).second) continue;
+      world.state.write_again(block);
+      return true;
+    }
+    return false;
+  };
+  world.at(15, [&world] { cut_all_peers(world); });
+  world.at(120, [&world] {
+    world.lose_commit = nullptr;
+    world.mend_nodes();
+  });
+  world.troubles_end = 120;
+  world.run_until(500);
+  EXPECT_FALSE(spoiled.empty());
+  expect_kept(world);
+}
+
+// A node accepts a job, hears of it through its watch, runs it and ends it, and only then the answer to the
+// acceptance arrives: the job does not begin anew.
+TEST_P(WentBack, TheAnswerToAnAcceptanceIsSlow) {
+  Options one = options();
+  one.nodes = 1;
+  World world(one);
+  for (int i = 0; i < 6; i++) world.submit(plain_job(world, i, 2, 4, 30));
+  for (int i = 6; i < 26; i++) world.submit(plain_job(world, i, 40 + i, 1, 0.2, 1));
+  int slow = 0;
+  world.commit_answer = [&](const std::string&, const Json& transaction) {
+    if (world.now < 40 || is_ending(transaction) || !changes_key(transaction, "put", keys::kHeads))
+      return 0.0;
+    slow++;
+    return 1.45;
+  };
+  std::uint64_t token = 0;
+  world.at(39, [&] { token = world.state.stamp(keys::part(0)); });
+  world.run_until(200);
+  expect_kept(world);
+  EXPECT_GT(slow, 10);
+  EXPECT_EQ(world.state.stamp(keys::part(0)), token) << "a job that had ended made the shard start over";
+}
+
+// More jobs are accepted and end while the watch tells nothing than any short memory would hold.
+TEST_P(WentBack, AWatchThatLagsBehindManyEndings) {
+  Options one = options();
+  one.nodes = 1;
+  one.close_looks = false;
+  one.state_rps = 3000;
+  one.write_rps = 1500;
+  one.market = 12;
+  one.team_cpus = one.team_max = 400;
+  World world(one);
+  for (int i = 0; i < 10; i++) world.submit(plain_job(world, i, 2, 12, 30));
+  for (int i = 0; i < 600; i++) {
+    world.submit(plain_job(world, 1000 + i, 50 + i * 0.01, 1, 0.2, 1));
+  }
+  world.at(49, [&world] { world.state.hold_watches = true; });
+  world.at(58.5, [&world] { world.state.release_watches(); });
+  std::uint64_t token = 0;
+  world.at(48, [&] { token = world.state.stamp(keys::part(0)); });
+  std::size_t ended = 0;
+  world.at(58, [&] {
+    for (const auto& [key, value] : world.state.values()) ended += key.rfind("e/", 0) == 0 ? 1 : 0;
+  });
+  world.run_until(200);
+  expect_kept(world);
+  EXPECT_GT(ended, 300u) << "too few ended behind the watch";
+  EXPECT_EQ(world.state.stamp(keys::part(0)), token) << "a job that had ended made the shard start over";
+}
+
+// Everything at once, with users who look closely all the time.
+TEST_P(WentBack, ManyTroublesMeet) {
+  Options rough = options();
+  rough.loss = 0.01;
+  rough.late_writes = 0.05;
+  rough.jobs = 40;
+  World world(rough);
+  add_jobs(world, 2, 120);
+  world.commit_answer = [&world](const std::string&, const Json&) {
+    return world.uniform(0, 1) < 0.3 ? kLost : world.uniform(0, 1) < 0.2 ? world.uniform(0.1, 1.4) : 0.0;
+  };
+  for (double t = 20; t < 130; t += 9) {
+    world.at(t, [&world] {
+      const int node = some_node(world);
+      switch (world.rng() % 5) {
+        case 0:
+          return cut_all_peers(world);
+        case 1:
+          return world.cut_node(node, world.rng() % 2 == 0);
+        case 2:
+          return world.freeze_node(node, world.uniform(0.5, 8));
+        case 3:
+          return world.crash_node(node, world.uniform(0.1, 9));
+        default:
+          world.state.slow_s = world.uniform(0, 0.6);
+      }
+    });
+    world.at(t + 7, [&world] {
+      world.mend_nodes();
+      world.state.slow_s = 0;
+    });
+    world.at(t + 3, [&world] {
+      for (auto& [ref, job] : world.jobs) {
+        if (job.accepted && !job.told_done && world.rng() % 8 == 0) world.call_off(ref);
+      }
+    });
+  }
+  world.at(140, [&world] {
+    world.commit_answer = nullptr;
+    world.options.late_writes = 0;
+  });
+  world.troubles_end = 155;
+  world.run_until(600);
+  expect_kept(world);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, WentBack, ::testing::Range(1, 1 + seeds()));
+
+// ---------------------------------------------------------------- the check itself
+
+namespace {
+JobAnswer poll(double asked, double received, const std::string& phase) {
+  return {asked, received, true, phase};
+}
+}  // namespace
+
+TEST(AnswerHistory, AnOlderAnswerIsFoundByTheOrderOfAskingAndReceiving) {
+  AnswerHistory told;
+  EXPECT_FALSE(told.take(poll(1, 2, "queued")));
+  EXPECT_FALSE(told.take(poll(3, 4, "done")));
+  EXPECT_FALSE(told.take(poll(3.5, 5, "running"))) << "asked before the end was told";
+  EXPECT_TRUE(told.take(poll(4.001, 5, "running")));
+  EXPECT_FALSE(told.take(poll(6, 7, "done")));
+}
+
+TEST(AnswerHistory, AJobHasOneTerminalState) {
+  AnswerHistory told;
+  EXPECT_FALSE(told.take(poll(1, 9, "aborted")));
+  EXPECT_TRUE(told.take(poll(1, 2, "done")));
+}
+
+TEST(AnswerHistory, AnAcceptedJobIsNotUnknown) {
+  AnswerHistory told;
+  EXPECT_FALSE(told.take({1, 2, false, ""}));
+  EXPECT_FALSE(told.take(poll(3, 4, "queued")));
+  EXPECT_FALSE(told.take({3.5, 5, false, ""})) << "asked before the acceptance was told";
+  EXPECT_TRUE(told.take({4.5, 5, false, ""}));
+}
