What may be told about a job is decided in one place: no answer while a terminal write's outcome is open

Cause of went_back: while the write that ends or cancels a job was under way, its shard's owner went on saying "running" from memory. The write can be durable with its answer lost or late; a node that does not reach the owner reads the state service then and says "done" or "aborted", and the next poll at the owner is older.

JobStatusService states the invariant; polls, repeated submissions and cancellations go through it. The owner answers from memory only while nobody else can own the shard and no terminal write is open; otherwise one read of the state service that begins after the question, shared by those who wait, or 503.

front.cpp is user_api.cpp now, with typed statuses.

--- /dev/null
+++ b/src/coordination/job_status.hpp
@@ -0,0 +1,96 @@
+// What may be told about a job: the one place that decides it, for polls, repeated submissions and
+// cancellations alike.
+//
+// Invariant: no answer is older than one that any node gave before the question was asked.
+//  * A terminal state is told only once it is durable, and is then final.
+//  * Any other answer (open, or unknown) is told only if it was true at some moment after the question came
+//  in.
+//    The owner of the job's shard may vouch for that from memory while nobody else can own the shard and no
+//    terminal write of its own has an open outcome. Everybody else, and the owner otherwise, needs a read of
+//    the state service that began after the question.
+//  * Where neither is to be had, nothing is told: the user is asked to come back.
+//
+// (What others can read may be ahead of the owner's memory: a terminal write can be durable while its answer
+// is late or lost. Owners that went by their memory then said "running" after others had said "done".)
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "coordination/state_client.hpp"
+
+namespace mothslip {
+
+enum class JobPhase { kQueued, kRunning, kDone, kCancelled };
+
+// The phase's name on the wire.
+[[nodiscard]] const char* wire_name(JobPhase phase);
+[[nodiscard]] std::optional<JobPhase> job_phase(const std::string& wire_name);
+
+struct JobStatus {
+  JobPhase phase = JobPhase::kQueued;
+  int done = 0;  // tasks, for display
+  int running = 0;
+  [[nodiscard]] bool terminal() const { return phase == JobPhase::kDone || phase == JobPhase::kCancelled; }
+  // The body of an answer to a poll.
+  [[nodiscard]] std::string to_body(const std::string& ref) const;
+};
+
+// What is known about a job, by the owner of its shard or by a read of the state service.
+struct JobFinding {
+  enum class Kind {
+    kStatus,          // `status` may be told
+    kUnknownJob,      // no such job, as far as was looked
+    kBeingCancelled,  // a cancellation is under way and not confirmed yet
+    kUndecided,       // whether the job has ended is open; `status` holds the counts of an open one
+  };
+  Kind kind = Kind::kUndecided;
+  JobStatus status;
+  [[nodiscard]] bool tellable() const { return kind == Kind::kStatus || kind == Kind::kBeingCancelled; }
+};
+
+class JobStatusService {
+ public:
+  struct Context {
+    Env* env = nullptr;
+    StateClient* state = nullptr;
+    // The number of shards; 0: not known yet.
+    std::function<int()> shard_count;
+    // What the job's shard knows, where this node owns it and nobody else can; nothing otherwise.
+    std::function<std::optional<JobFinding>(const std::string& ref)> ask_owned_shard;
+  };
+  explicit JobStatusService(Context context) : ctx_(std::move(context)) {}
+
+  // Takes down a terminal state that is durable.
+  void note_terminal(const std::string& ref, const JobStatus& status);
+  // The terminal state, if it is remembered. (The memory is bounded; the state service keeps all.)
+  [[nodiscard]] const JobStatus* terminal(const std::string& ref) const;
+
+  // What this node knows without a read. Nothing: it neither remembers the job's end nor owns its shard.
+  [[nodiscard]] std::optional<JobFinding> from_memory(const std::string& ref) const;
+
+  // What the state service says, by a read that begins after this call. Those who ask about one job while a
+  // read of it is under way share the next one: there are at most two reads of a job, however many ask.
+  using Handler = std::function<void(const JobFinding&)>;
+  void read(const std::string& ref, Handler handler);
+
+ private:
+  struct Reading {
+    std::vector<Handler> served;   // by the read that is under way
+    std::vector<Handler> waiting;  // for the next one
+  };
+  void start_read(const std::string& ref);
+  void read_ending(int shard, const std::string& ref);
+  void finish_read(const std::string& ref, const JobFinding& finding);
+
+  Context ctx_;
+  std::unordered_map<std::string, JobStatus> terminal_;
+  std::deque<std::string> terminal_age_;  // the same, oldest first
+  std::unordered_map<std::string, Reading> readings_;
+};
+
+}  // namespace mothslip
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -29,12 +29,12 @@
       ownership_(env_, state_, settings_,
                  {[this](int part, std::uint64_t baton) { gained(part, baton); },
                   [this](int part) { lost(part); }, [] {}}),
-      front_({&env_, &state_, &settings_, &types_, &ownership_,
-              [this](int index) -> Part* {
-                const auto it = parts_.find(index);
-                return it != parts_.end() && it->second->active() ? it->second.get() : nullptr;
-              },
-              [this](const std::string& node) { return address_of(node); }}) {}
+      user_api_({&env_, &state_, &settings_, &types_, &ownership_,
+                 [this](int index) -> Part* {
+                   const auto it = parts_.find(index);
+                   return it != parts_.end() && it->second->active() ? it->second.get() : nullptr;
+                 },
+                 [this](const std::string& node) { return address_of(node); }}) {}
 
 std::size_t Node::most_front_connections(const Settings& settings) {
   constexpr int kOurs = 80;  // to the state service, the cloud, other nodes; direct commands
@@ -143,7 +143,7 @@
   context.parts = ownership_.parts();
   context.ask = [this](int other, const std::string& path, const Json& body,
                        std::function<void(Json)> answer) { ask(other, path, body, std::move(answer)); };
-  context.lease_valid = [this] { return ownership_.valid(); };
+  context.lease_valid = [this, part] { return ownership_.exclusive(part); };
   context.may_renew = [this, part] { return ownership_.may_renew(part); };
   context.owner_since = [this](int other) { return ownership_.owner(other).baton; };
   // Both end the part that calls: they run after its own code has returned.
@@ -156,8 +156,8 @@
   context.deposed = [this, part](std::uint64_t newer) {
     env_.after(0, [this, part, newer] { ownership_.heard(part, "", newer); });
   };
-  context.ended = [this](const std::string& ref, const char* phase, int pieces) {
-    front_.note_ended(ref, phase, pieces);
+  context.ended = [this](const std::string& ref, const JobStatus& status) {
+    user_api_.note_terminal(ref, status);
   };
   auto fresh = std::make_unique<Part>(std::move(context), part, baton);
   Part* raw = fresh.get();
@@ -173,7 +173,7 @@
     fleet.halls = &halls_;
     fleet.baton = baton;
     fleet.parts = ownership_.parts();
-    fleet.lease_valid = [this] { return ownership_.valid(); };
+    fleet.lease_valid = [this, part] { return ownership_.exclusive(part); };
     fleet.new_types = [this](MachineTypes types) {
       env_.after(0, [this, types = std::move(types)]() mutable { take_types(std::move(types), false); });
     };
@@ -344,7 +344,7 @@
   const std::string& path = request.path;
   if (path == kRuns) {
     if (request.method != "POST") return responder.send(405, R"({"error":"method"})");
-    front_.submit(request.body, responder);
+    user_api_.submit(request.body, responder);
     return;
   }
   if (path.compare(0, kRuns.size(), kRuns) == 0 && path.size() > kRuns.size() + 1 &&
@@ -354,12 +354,12 @@
         ref.compare(ref.size() - kCancel.size(), kCancel.size(), kCancel) == 0) {
       if (request.method != "POST") return responder.send(405, R"({"error":"method"})");
       ref.resize(ref.size() - kCancel.size());
-      front_.cancel(ref, forwarded, responder);
+      user_api_.cancel(ref, forwarded, responder);
       return;
     }
     if (ref.find('/') == std::string::npos) {
       if (request.method != "GET") return responder.send(405, R"({"error":"method"})");
-      front_.show(ref, forwarded, responder);
+      user_api_.poll(ref, forwarded, responder);
       return;
     }
   }
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -7,10 +7,10 @@
 
 #include "coordination/cloud_client.hpp"
 #include "coordination/fleet.hpp"
-#include "coordination/front.hpp"
 #include "coordination/ownership.hpp"
 #include "coordination/part.hpp"
 #include "coordination/report_relay.hpp"
+#include "coordination/user_api.hpp"
 #include "transport/http.hpp"
 
 namespace mothslip {
@@ -68,7 +68,7 @@
   StateClient state_;
   CloudClient cloud_;
   Ownership ownership_;
-  Front front_;
+  UserApi user_api_;
   ReportRelay relay_;
   std::map<int, std::unique_ptr<Part>> parts_;
   std::unique_ptr<Fleet> fleet_;
--- a/src/coordination/ownership.cpp
+++ b/src/coordination/ownership.cpp
@@ -115,6 +115,11 @@
   valid_until_ = lease_end_ - kMargin;
 }
 
+// (A deletion that is under way may be carried out already, and the next owner may have ended jobs since.)
+bool Ownership::exclusive(int part) const {
+  return valid() && mine(part) && release_sent_[static_cast<std::size_t>(part)] == 0;
+}
+
 bool Ownership::may_renew(int part) const {
   const double since = release_sent_[static_cast<std::size_t>(part)];
   double unreplaced = std::max(lease_end_, unreplaced_at_);
--- a/src/coordination/ownership.hpp
+++ b/src/coordination/ownership.hpp
@@ -37,6 +37,8 @@
   // By our own clock, drift allowed: nobody else can own what we own before this time.
   [[nodiscard]] double valid_until() const { return valid_until_; }
   [[nodiscard]] bool valid() const { return env_.now() < valid_until_; }
+  // Nobody else can own this part now: our lease is good, and we are not giving the part away.
+  [[nodiscard]] bool exclusive(int part) const;
   // When our lease in the state service may have ended at the earliest, by our clock.
   [[nodiscard]] double lease_end() const { return lease_end_; }
   // At that moment of our clock no other node had heard anything from the state service since the end of our
--- a/src/coordination/part.cpp
+++ b/src/coordination/part.cpp
@@ -53,20 +53,18 @@
 
 // ---------------------------------------------------------------- questions
 
-std::optional<JobView> Part::view(const std::string& ref) const {
+// A terminal write whose answer has not come may be durable already, and others may have read and told it. So
+// from the moment it is sent until its outcome is certain our memory does not tell whether the job is open.
+JobFinding Part::find(const std::string& ref) const {
   const auto it = jobs_.find(ref);
-  if (it == jobs_.end()) return std::nullopt;
+  if (it == jobs_.end()) return {JobFinding::Kind::kUnknownJob, {}};
   const Job& job = *it->second;
-  JobView out;
-  out.done = job.done.size();
-  out.running = job.placed + job.lent_open();
-  // Only a durable ending is told; a completed job still being written counts as running.
-  if (job.head.aborted) {
-    out.phase = job.confirmed ? "aborted" : nullptr;
-  } else if (out.running > 0 || job.complete()) {
-    out.phase = "running";
-  }
-  return out;
+  if (job.confirmed) return {JobFinding::Kind::kStatus, {JobPhase::kCancelled, 0, 0}};
+  if (job.called_off()) return {JobFinding::Kind::kBeingCancelled, {}};
+  JobStatus status{JobPhase::kQueued, job.done.size(), job.placed + job.lent_open()};
+  // Only a durable ending is told: a completed job that is not written yet counts as running.
+  if (status.running > 0 || job.complete()) status.phase = JobPhase::kRunning;
+  return {job.finishing ? JobFinding::Kind::kUndecided : JobFinding::Kind::kStatus, status};
 }
 
 void Part::cancel(const std::string& ref, Responder responder) {
--- a/src/coordination/part.hpp
+++ b/src/coordination/part.hpp
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "bookkeeping/ledger.hpp"
+#include "coordination/job_status.hpp"
 #include "coordination/state_client.hpp"
 #include "coordination/summary.hpp"
 #include "protocol/names.hpp"
@@ -26,12 +27,6 @@
 
 namespace mothslip {
 
-struct JobView {
-  const char* phase = "queued";  // null: it is being cancelled, nothing may be told yet
-  int done = 0;
-  int running = 0;
-};
-
 class Part {
  public:
   struct Context {
@@ -41,15 +36,16 @@
     const MachineTypes* types = nullptr;
     NameTable* halls = nullptr;
     int parts = 1;
-    std::function<bool()> lease_valid;
-    std::function<bool()> may_renew;  // the workers' leases (Ownership::may_renew)
+    std::function<bool()> lease_valid;  // nobody else can own this part (Ownership::exclusive)
+    std::function<bool()> may_renew;    // the workers' leases (Ownership::may_renew)
     // The revision at which the part got the owner that is known of, or lost its last one.
     std::function<std::uint64_t(int part)> owner_since;
     // Asks the owner of another part; a null answer when it cannot be reached.
     std::function<void(int part, const std::string& path, const Json& body, std::function<void(Json)>)> ask;
     std::function<void(std::string why)> abdicate;
     std::function<void(std::uint64_t baton)> deposed;  // a worker has seen a higher token
-    std::function<void(const std::string& ref, const char* phase, int pieces)> ended;
+    // A job's terminal state is durable, and users may be told.
+    std::function<void(const std::string& ref, const JobStatus& status)> ended;
   };
   Part(Context context, int id, std::uint64_t baton);
   ~Part();
@@ -63,8 +59,10 @@
 
   // `relayed`: through another node, which waits only so long; such a report is not held for new work.
   void on_report(Report report, bool relayed, Responder responder);
+  // A job that this node has accepted; the answer to that write may be older than what the watch has told.
   void admit(HeadRecord head, std::uint64_t stamp);
-  [[nodiscard]] std::optional<JobView> view(const std::string& ref) const;
+  // What may be told about a job of this part as long as nobody else can own the part.
+  [[nodiscard]] JobFinding find(const std::string& ref) const;
   [[nodiscard]] bool knows(const std::string& ref) const { return jobs_.count(ref) > 0; }
   // Answers the responder once the cancellation is durable and all who may run tasks of the job know of it,
   // or shortly with 503. The job must be known.
@@ -127,7 +125,9 @@
   void commit_allowance(int team, const std::shared_ptr<std::string>& body, const Json& split);
   void reload_team(int team);
   void retry_load(void (Part::*step)());
-  void forget(const std::string& ref);
+  void take_up(HeadRecord head, std::uint64_t stamp);
+  void forget(const std::string& name);
+  void watched_up_to(std::uint64_t revision);
 
   Machine& machine_for(const Report& report);
   void shape_machine(Machine& machine);
@@ -235,7 +235,8 @@
   void send_commit(Lane lane, int slot, const Transaction& txn, std::function<void(std::uint64_t)> done,
                    Conflict conflict = nullptr);
   void try_commit(const std::shared_ptr<Write>& write);
-  void find_stamp(const std::shared_ptr<Write>& write, std::uint64_t epoch);
+  void on_refused(const std::shared_ptr<Write>& write, const StateReply& reply);
+  void find_stamp(const std::shared_ptr<Write>& write, std::size_t at, std::uint64_t epoch);
   void settle(const Write& write, std::uint64_t epoch);
   Transaction guarded() const;
   template <typename F>
@@ -282,7 +283,10 @@
     Responder responder;
   };
   std::vector<EarlyReport> early_;  // reports that came while loading
-  std::deque<std::string> recently_ended_;
+  // Jobs and blocks that are over here while the watch has yet to tell of their beginning: by name, the
+  // revision up to which it may. (A memory of the last 256 was not enough: behind a watch that lagged, older
+  // ones came back.)
+  std::map<std::string, std::uint64_t> over_ahead_of_watch_;
   std::deque<std::string> returned_order_;  // machines that are gone for good, oldest first:
   std::set<std::string> returned_;          // late copies of their reports still come
   std::vector<WaitingHint> elsewhere_;      // what waits at other parts, as the fleet told last
--- a/src/coordination/part_cancel.cpp
+++ b/src/coordination/part_cancel.cpp
@@ -105,7 +105,7 @@
     waiter.responder.send(200, dump_json({{"ref", ref}, {"phase", "aborted"}}));
   }
   job->cancel_waiters.clear();
-  ctx_.ended(ref, "aborted", job->spec().pieces);
+  ctx_.ended(ref, {JobPhase::kCancelled, 0, 0});
 }
 
 // Borrower: the home's owner says that a job is cancelled.
--- a/src/coordination/part_commit.cpp
+++ b/src/coordination/part_commit.cpp
@@ -21,18 +21,26 @@
 }
 
 // One transaction is repeated until its fate is certain. When a copy of it went unanswered, a repeat can find
-// that copy applied: it is then refused for the stamps of the very keys it writes. Only the owner writes
-// these, one transaction at a time, and the refusal does not name our ownership: so it was ours that changed
-// them. (A slow state service leaves many copies unanswered; giving the part up each time once made takeovers
-// of what was only delay.)
+// that copy carried out: it is then refused for the revisions of the very keys that it changes. What shows
+// this is a refusal for a key that nobody but this owner writes, one transaction at a time: only the copy can
+// have changed it. Blocks show nothing of the kind by their revisions, for two parts write them: of a
+// transaction that changes nothing else, what is read must be what was written. (A slow state service leaves
+// many copies unanswered; giving the part up each time once made takeovers of what was only delay. And a
+// refusal for any key was once taken for success: an ending was told that was never written, because a block
+// that goes with the job had changed.)
 struct Part::Write {
   Lane lane = Lane::kRest;
   int slot = 0;
   std::string body;
   int changes = 0;
-  std::set<std::string> own;  // keys it changes
-  std::string put;            // one that it puts; may be empty
-  bool unanswered = false;    // a copy may have been carried out
+  std::set<std::string> own;       // keys it changes
+  std::set<std::string> evidence;  // of these, the ones that nobody else writes
+  struct Effect {
+    std::string key;
+    std::optional<Json> data;  // none: the key is gone
+  };
+  std::vector<Effect> effects;  // what a read can show of it: puts first
+  bool unanswered = false;      // a copy may have been carried out
   std::function<void(std::uint64_t)> done;
   Conflict conflict;
 };
@@ -49,7 +57,18 @@
     const bool put = change.contains("put");
     const std::string key = change.at(put ? "put" : "delete").get<std::string>();
     write->own.insert(key);
-    if (put && write->put.empty()) write->put = key;
+    if (key.rfind(keys::kBlocks, 0) != 0) write->evidence.insert(key);
+    if (put) write->effects.push_back({key, change.at("data")});
+  }
+  if (write->evidence.empty()) {
+    for (const std::string& key : write->own) {
+      const auto is_put = [&key](const Write::Effect& effect) { return effect.key == key; };
+      if (std::none_of(write->effects.begin(), write->effects.end(), is_put))
+        write->effects.push_back({key, std::nullopt});
+    }
+  } else {
+    std::erase_if(write->effects,
+                  [&write](const auto& effect) { return write->evidence.count(effect.key) == 0; });
   }
   write->done = std::move(done);
   write->conflict = std::move(conflict);
@@ -66,35 +85,51 @@
           ctx_.env->after(ctx_.env->uniform(0.15, 0.4), alive([this, write] { try_commit(write); }));
           return;
         }
-        std::vector<std::string> failed;
-        if (reply.outcome == Outcome::kConflict && reply.body.is_object() && reply.body.contains("failed")) {
-          for (const Json& key : reply.body["failed"]) failed.push_back(key.get<std::string>());
-        }
-        const bool owner = std::find(failed.begin(), failed.end(), keys::part(id_)) == failed.end();
-        const bool own = std::any_of(failed.begin(), failed.end(),
-                                     [&write](const auto& key) { return write->own.count(key) > 0; });
-        if (owner && own && write->unanswered) return find_stamp(write, reply.epoch());
-        if (!failed.empty() && owner && !own && write->conflict && write->conflict(failed)) {
-          stuck_since_ = 0;
-          inflight_[write->slot]--;
-          pump();
-          return;
-        }
-        ctx_.abdicate("a commit was turned down: " + dump_json(reply.body));
+        on_refused(write, reply);
       }));
 }
 
-// It was carried out, its answer is lost: only the stamp is missing.
-void Part::find_stamp(const std::shared_ptr<Write>& write, std::uint64_t epoch) {
-  if (write->put.empty()) return settle(*write, epoch);
-  ctx_.state->get(write->lane, write->put, alive([this, write, epoch](const StateReply& reply) {
-                    if (reply.ok()) {
-                      settle(*write, reply.body.value("stamp", std::uint64_t{0}));
-                    } else if (reply.outcome == Outcome::kMissing) {
-                      settle(*write, 0);  // a block that is over already
-                    } else {
-                      ctx_.env->after(0.3, alive([this, write, epoch] { find_stamp(write, epoch); }));
+void Part::on_refused(const std::shared_ptr<Write>& write, const StateReply& reply) {
+  std::vector<std::string> failed;
+  if (reply.outcome == Outcome::kConflict && reply.body.is_object() && reply.body.contains("failed")) {
+    for (const Json& key : reply.body["failed"]) failed.push_back(key.get<std::string>());
+  }
+  const auto any_in = [&failed](const std::set<std::string>& wanted) {
+    return std::any_of(failed.begin(), failed.end(),
+                       [&wanted](const auto& key) { return wanted.count(key) > 0; });
+  };
+  const bool owner = std::find(failed.begin(), failed.end(), keys::part(id_)) == failed.end();
+  const bool own = any_in(write->own);
+  const bool maybe_done = write->evidence.empty() ? own : any_in(write->evidence);
+  if (owner && write->unanswered && maybe_done) return find_stamp(write, 0, reply.epoch());
+  if (!failed.empty() && owner && !own && write->conflict && write->conflict(failed)) {
+    stuck_since_ = 0;
+    inflight_[write->slot]--;
+    pump();
+    return;
+  }
+  ctx_.abdicate("a commit was turned down: " + dump_json(reply.body));
+}
+
+// Its answer is lost: the revision is read from the first of its puts that is still there. A block that it
+// put and that is gone was complete, which only we can have written, and its home has deleted it.
+void Part::find_stamp(const std::shared_ptr<Write>& write, std::size_t at, std::uint64_t epoch) {
+  if (at == write->effects.size()) return settle(*write, epoch);
+  ctx_.state->get(write->lane, write->effects[at].key,
+                  alive([this, write, at, epoch](const StateReply& reply) {
+                    const Write::Effect& effect = write->effects[at];
+                    if (reply.outcome == Outcome::kMissing) {
+                      return effect.data ? find_stamp(write, at + 1, epoch) : settle(*write, epoch);
+                    }
+                    if (!reply.ok() || !reply.body.contains("data")) {
+                      ctx_.env->after(0.3, alive([this, write, at, epoch] { find_stamp(write, at, epoch); }));
+                      return;
+                    }
+                    const bool certain = !write->evidence.empty();
+                    if (certain || (effect.data && reply.body["data"] == *effect.data)) {
+                      return settle(*write, reply.body.value("stamp", std::uint64_t{0}));
                     }
+                    ctx_.abdicate("a block that it writes was changed: " + effect.key);
                   }));
 }
 
@@ -665,7 +700,7 @@
       for (const Job::CancelWaiter& waiter : job->cancel_waiters) {
         waiter.responder.send(200, dump_json({{"ref", ref}, {"phase", "done"}}));
       }
-      ctx_.ended(ref, "done", job->spec().pieces);
+      ctx_.ended(ref, {JobPhase::kDone, job->spec().pieces, 0});
       job->unsaved.clear();
       forget(ref);
     }
--- a/src/coordination/part_lending.cpp
+++ b/src/coordination/part_lending.cpp
@@ -132,7 +132,7 @@
   if (key.compare(0, own.size(), own) == 0) {
     const auto it = jobs_.find(key);
     if (put && it == jobs_.end()) {
-      if (std::find(recently_ended_.begin(), recently_ended_.end(), key) != recently_ended_.end()) return;
+      if (over_ahead_of_watch_.count(key) > 0) return;
       auto record = BlockRecord::from_json(event["data"]);
       if (!record || record->complete()) return;
       counters_.borrowed += static_cast<std::uint64_t>(record->range.size());
--- a/src/coordination/part_load.cpp
+++ b/src/coordination/part_load.cpp
@@ -12,7 +12,6 @@
 // A watch whose answer is lost tells nothing until it is over: not for long.
 constexpr double kWatch = 8.0;
 constexpr double kWatchGap = 0.25;  // seconds at the least from one answer to the next
-constexpr std::size_t kRecentlyEnded = 256;
 }  // namespace
 
 void Part::load() { load_heads(); }
@@ -163,7 +162,7 @@
                         if (events != reply.body.end() && events->is_array()) {
                           for (const Json& event : *events) on_event(event);
                         }
-                        watched_ = std::max(watched_, reply.epoch());
+                        watched_up_to(reply.epoch());
                         wait = std::max(0.0, kWatchGap - took);
                         pump();
                       } else if (reply.outcome == Outcome::kGone) {
@@ -204,13 +203,18 @@
   if (!put || !event.contains("data")) return;
   auto head = HeadRecord::from_json(event["data"]);
   if (!head || head->aborted) return;
-  // The watch can lag behind a job that was accepted, run and ended here.
-  if (std::find(recently_ended_.begin(), recently_ended_.end(), ref) != recently_ended_.end()) return;
-  admit(std::move(*head), event.value("stamp", std::uint64_t{0}));
+  take_up(std::move(*head), event.value("stamp", std::uint64_t{0}));
 }
 
+// The answer may come late. What the watch, or loading, has covered by then we know already, whatever became
+// of it since: the job may have run and ended.
 void Part::admit(HeadRecord head, std::uint64_t stamp) {
-  if (jobs_.count(head.spec.ref) > 0) return;
+  if (stamp > watched_) take_up(std::move(head), stamp);
+}
+
+void Part::take_up(HeadRecord head, std::uint64_t stamp) {
+  const std::string& ref = head.spec.ref;
+  if (jobs_.count(ref) > 0 || over_ahead_of_watch_.count(ref) > 0) return;
   add_job(std::move(head), stamp);
   wake();
 }
@@ -249,10 +253,18 @@
   return nullptr;
 }
 
-void Part::forget(const std::string& ref) {
-  recently_ended_.push_back(ref);
-  if (recently_ended_.size() > kRecentlyEnded) recently_ended_.pop_front();
-  jobs_.erase(ref);
+void Part::forget(const std::string& name) {
+  const auto it = jobs_.find(name);
+  if (it == jobs_.end()) return;
+  const Job& job = *it->second;
+  const std::uint64_t known_at = job.borrowed() ? job.block_stamp : job.head_stamp;
+  if (known_at > watched_) over_ahead_of_watch_[name] = known_at;
+  jobs_.erase(it);
+}
+
+void Part::watched_up_to(std::uint64_t revision) {
+  watched_ = std::max(watched_, revision);
+  std::erase_if(over_ahead_of_watch_, [this](const auto& item) { return item.second <= watched_; });
 }
 
 }  // namespace mothslip
--- /dev/null
+++ b/src/coordination/user_api.cpp
@@ -0,0 +1,263 @@
+#include "coordination/user_api.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <utility>
+
+#include "bookkeeping/records.hpp"
+
+namespace mothslip {
+
+namespace {
+constexpr double kForwardSeconds = 0.8;
+constexpr double kCancelForwardSeconds = 2.5;
+constexpr double kAcceptPatience = 0.8;
+// Users wait this long for the state of a job. What is learned later is of no use to them.
+constexpr double kPollSeconds = 2.0;
+
+void send_unknown(const Responder& responder) { responder.send(404, R"({"error":"unknown"})"); }
+
+void send_starting(const Responder& responder) { responder.send(503, R"({"error":"starting"})", 1); }
+
+void send_finding(const std::string& ref, const JobFinding& finding, const Responder& responder) {
+  switch (finding.kind) {
+    case JobFinding::Kind::kStatus:
+      responder.send(200, finding.status.to_body(ref));
+      return;
+    case JobFinding::Kind::kUnknownJob:
+      send_unknown(responder);
+      return;
+    case JobFinding::Kind::kBeingCancelled:
+      responder.send(503, R"({"error":"being cancelled"})", 1);
+      return;
+    case JobFinding::Kind::kUndecided:
+      responder.send(503, R"({"error":"state service away"})", 1);
+      return;
+  }
+}
+
+// The answer to a cancellation of a job that has ended.
+void send_phase(const std::string& ref, const JobStatus& status, const Responder& responder) {
+  responder.send(200, dump_json({{"ref", ref}, {"phase", wire_name(status.phase)}}));
+}
+}  // namespace
+
+UserApi::UserApi(Context context)
+    : ctx_(std::move(context)),
+      statuses_({ctx_.env, ctx_.state, [this] { return ctx_.ownership->parts(); },
+                 [this](const std::string& ref) -> std::optional<JobFinding> {
+                   if (ctx_.ownership->parts() == 0) return std::nullopt;
+                   const int index = part_of(ref, ctx_.ownership->parts());
+                   const Part* part = ctx_.ownership->exclusive(index) ? ctx_.part(index) : nullptr;
+                   if (part == nullptr) return std::nullopt;
+                   return part->find(ref);
+                 }}) {}
+
+std::string UserApi::owner_address(const std::string& ref) const {
+  return ctx_.peer_address(ctx_.ownership->owner(part_of(ref, ctx_.ownership->parts())).node);
+}
+
+void UserApi::pass_on(const std::string& ref, const std::string& body, const Responder& responder) {
+  const Json answer = parse_json(body);
+  if (answer.is_object()) {
+    const auto phase = job_phase(answer.value("phase", ""));
+    const JobStatus status{phase.value_or(JobPhase::kQueued), answer.value("done", 0), 0};
+    if (status.terminal()) statuses_.note_terminal(ref, status);
+  }
+  responder.send(200, body);
+}
+
+// ---------------------------------------------------------------- submissions
+
+// A known job is answered with its state whatever the repeat's body says; only then is a refusal right.
+void UserApi::refuse(const std::string& ref, int status, const std::string& why, const Responder& responder) {
+  const std::string body = dump_json({{"error", why}});
+  spdlog::info("submission of {} refused with {}: {}", ref, status, why);
+  if (!valid_ref(ref)) {
+    responder.send(status, body);
+    return;
+  }
+  statuses_.read(ref, [this, ref, status, body, responder](const JobFinding& found) {
+    switch (found.kind) {
+      case JobFinding::Kind::kUnknownJob:
+        responder.send(status, body);
+        return;
+      case JobFinding::Kind::kStatus:
+        poll(ref, false, responder);
+        return;
+      default:
+        send_finding(ref, found, responder);
+    }
+  });
+}
+
+void UserApi::submit(const std::string& body, Responder responder) {
+  const Json json = parse_json(body);
+  if (!json.is_object()) {
+    responder.send(400, R"({"error":"not a JSON object"})");
+    return;
+  }
+  std::string why;
+  const auto spec = parse_job(json, why);
+  if (!spec) {
+    const auto ref = json.find("ref");
+    const bool named = ref != json.end() && ref->is_string();
+    refuse(named ? ref->get<std::string>() : "", 400, "bad field: " + why, responder);
+    return;
+  }
+  // A repeat of one that is known here needs no write.
+  const auto found = statuses_.from_memory(spec->ref);
+  if (found && found->kind != JobFinding::Kind::kUnknownJob) {
+    poll(spec->ref, true, responder);
+    return;
+  }
+  if (ctx_.types->empty() || ctx_.ownership->parts() == 0) {
+    send_starting(responder);
+    return;
+  }
+  if (const std::string never = never_runs(*spec, *ctx_.settings, *ctx_.types); !never.empty()) {
+    refuse(spec->ref, 422, never, responder);
+    return;
+  }
+  if (ctx_.state->busy(Lane::kAccept, kAcceptPatience)) {
+    responder.send(429, R"({"error":"too many submissions"})", 2);
+    return;
+  }
+  accept(*spec, responder);
+}
+
+void UserApi::accept(const JobSpec& spec, const Responder& responder) {
+  const std::string& ref = spec.ref;
+  const int part = part_of(ref, ctx_.ownership->parts());
+  HeadRecord head;
+  head.spec = spec;
+  head.submitted = ctx_.env->wall();
+  Transaction txn;
+  txn.guard(keys::head(part, ref), 0);
+  txn.guard(keys::ending(part, ref), 0);
+  txn.put(keys::head(part, ref), head.to_json());
+  ctx_.state->commit(Lane::kAccept, txn, [this, ref, part, head, responder](const StateReply& reply) {
+    if (reply.ok()) {
+      spdlog::info("{} accepted", ref);
+      if (Part* ours = ctx_.part(part); ours != nullptr) ours->admit(head, reply.epoch());
+      responder.send(201, dump_json({{"ref", ref}, {"phase", "queued"}}));
+    } else if (reply.outcome == Outcome::kConflict) {
+      poll(ref, false, responder);
+    } else if (reply.outcome == Outcome::kInvalid) {
+      spdlog::error("{}: the state service calls the record invalid: {}", ref, dump_json(reply.body));
+      responder.send(503, R"({"error":"not recorded"})", 5);
+    } else {
+      // Not recorded, or not known to be: a repeat finds out.
+      send_finding(ref, {}, responder);
+    }
+  });
+}
+
+// ---------------------------------------------------------------- polls
+
+void UserApi::poll(const std::string& ref, bool forwarded, Responder responder) {
+  if (!valid_ref(ref)) {
+    send_unknown(responder);
+    return;
+  }
+  const auto found = statuses_.from_memory(ref);
+  if (found && found->tellable()) {
+    send_finding(ref, *found, responder);
+    return;
+  }
+  if (ctx_.ownership->parts() == 0) {
+    send_starting(responder);
+    return;
+  }
+  const std::string address = owner_address(ref);
+  if (found || forwarded || address.empty()) {
+    poll_state(ref, found ? found->status : JobStatus(), responder);
+  } else {
+    poll_owner(address, ref, responder);
+  }
+}
+
+void UserApi::poll_owner(const std::string& address, const std::string& ref, const Responder& responder) {
+  const double asked = ctx_.env->now();
+  ctx_.env->call({address, "GET", "/v2/runs/" + ref, "", kForwardSeconds},
+                 [this, ref, asked, responder](const HttpReply& reply) {
+                   const bool late = ctx_.env->now() - asked > kForwardSeconds;
+                   if (reply.status == 200 && !late) {
+                     pass_on(ref, reply.body, responder);
+                   } else if (reply.status == 404 && !late) {
+                     send_unknown(responder);
+                   } else {
+                     poll_state(ref, {}, responder);
+                   }
+                 });
+}
+
+void UserApi::poll_state(const std::string& ref, const JobStatus& open, const Responder& responder) {
+  const double asked = ctx_.env->now();
+  statuses_.read(ref, [this, ref, open, asked, responder](JobFinding found) {
+    const bool has_status = found.kind == JobFinding::Kind::kStatus;
+    const bool late = ctx_.env->now() - asked > kPollSeconds;
+    if (has_status && !found.status.terminal()) found.status = open;
+    if (late && !(has_status && found.status.terminal())) found = {};
+    send_finding(ref, found, responder);
+  });
+}
+
+// ---------------------------------------------------------------- cancellations
+
+void UserApi::cancel(const std::string& ref, bool forwarded, Responder responder) {
+  if (!valid_ref(ref)) {
+    send_unknown(responder);
+    return;
+  }
+  if (const JobStatus* status = statuses_.terminal(ref); status != nullptr) {
+    send_phase(ref, *status, responder);
+    return;
+  }
+  if (ctx_.ownership->parts() == 0) {
+    send_starting(responder);
+    return;
+  }
+  if (Part* part = ctx_.part(part_of(ref, ctx_.ownership->parts())); part != nullptr) {
+    if (part->knows(ref)) {
+      part->cancel(ref, std::move(responder));
+    } else {
+      cancel_unknown_here(ref, responder);
+    }
+    return;
+  }
+  const std::string address = owner_address(ref);
+  if (forwarded || address.empty()) {
+    responder.send(503, R"({"error":"no owner"})", 1);
+  } else {
+    cancel_at_owner(address, ref, responder);
+  }
+}
+
+void UserApi::cancel_unknown_here(const std::string& ref, const Responder& responder) {
+  statuses_.read(ref, [ref, responder](const JobFinding& found) {
+    if (found.kind == JobFinding::Kind::kStatus && found.status.terminal()) {
+      send_phase(ref, found.status, responder);
+    } else if (found.kind == JobFinding::Kind::kUnknownJob) {
+      send_unknown(responder);
+    } else {
+      responder.send(503, R"({"error":"not yet"})", 1);  // accepted elsewhere a moment ago
+    }
+  });
+}
+
+void UserApi::cancel_at_owner(const std::string& address, const std::string& ref,
+                              const Responder& responder) {
+  ctx_.env->call({address, "POST", "/v2/runs/" + ref + "/cancel", "{}", kCancelForwardSeconds},
+                 [this, ref, responder](const HttpReply& reply) {
+                   if (reply.status == 200) {
+                     pass_on(ref, reply.body, responder);
+                   } else if (reply.status == 404) {
+                     send_unknown(responder);
+                   } else {
+                     responder.send(503, R"({"error":"owner not reached"})", 1);
+                   }
+                 });
+}
+
+}  // namespace mothslip
--- a/tests/went_back_test.cpp
+++ b/tests/went_back_test.cpp
@@ -171,7 +171,7 @@
 TEST_P(WentBack, AnEndingThatWasNeverWritten) {
   World world(options());
   world.hold_share = 0;
-  for (int i = 0; i < 12; i++) world.submit(plain_job(world, i, world.uniform(2, 9), 12, 25));
+  for (int i = 0; i < 20; i++) world.submit(plain_job(world, i, world.uniform(2, 50), 12, 25));
   std::set<std::string> spoiled;
   world.lose_commit = [&](const std::string&, const Json& transaction) {
     if (!is_ending(transaction)) return false;
@@ -183,7 +183,7 @@
     }
     return false;
   };
-  world.at(15, [&world] { cut_all_peers(world); });
+  world.at(55, [&world] { cut_all_peers(world); });
   world.at(120, [&world] {
     world.lose_commit = nullptr;
     world.mend_nodes();
