--- /dev/null
+++ b/tests/job_status_test.cpp
@@ -0,0 +1,123 @@
+// What may be told about a job: reads of the state service begin after the question, are shared and bounded,
+// and terminal states are final.
+#include "coordination/job_status.hpp"
+
+#include <gtest/gtest.h>
+
+#include "sim/scripted_env.hpp"
+
+using namespace mothslip;
+using mothslip::sim::ScriptedEnv;
+
+namespace {
+
+const std::string kJob = "job-000412";
+const char* const kOpenHead = R"({"k":"h","data":{"phase":"open"},"stamp":7})";
+const char* const kCancelledHead = R"({"k":"h","data":{"phase":"aborted","spread":false},"stamp":8})";
+const char* const kSpreadHead = R"({"k":"h","data":{"phase":"aborted","spread":true},"stamp":8})";
+const char* const kMissing = R"({"epoch":9})";
+const char* const kDone = R"({"k":"e","data":{"phase":"done","pieces":3},"stamp":9})";
+
+Settings settings() {
+  Settings out;
+  out.state = "10.2.0.1:2379";
+  out.state_rps = 1000;
+  out.state_write_rps = 300;
+  out.txn_ops = 24;
+  return out;
+}
+
+class JobStatuses : public ::testing::Test {
+ protected:
+  // Asks for a read; its finding comes into the list of this name.
+  void ask(std::vector<JobFinding>& findings) {
+    statuses_.read(kJob, [&findings](const JobFinding& found) { findings.push_back(found); });
+  }
+  static bool is_status(const JobFinding& found, JobPhase phase) {
+    return found.kind == JobFinding::Kind::kStatus && found.status.phase == phase;
+  }
+
+  Settings settings_ = settings();
+  ScriptedEnv env_;
+  StateClient state_{env_, settings_};
+  std::optional<JobFinding> owned_;
+  JobStatusService statuses_{
+      {&env_, &state_, [] { return 3; }, [this](const std::string&) { return owned_; }}};
+};
+
+}  // namespace
+
+// The job ends while a read that began before the question is on its way back with "open".
+TEST_F(JobStatuses, AQuestionIsNotAnsweredByAReadThatBeganBeforeIt) {
+  std::vector<JobFinding> first;
+  std::vector<JobFinding> second;
+  ask(first);
+  ask(second);
+  ASSERT_EQ(env_.calls.size(), 1u);
+  env_.answer(200, kOpenHead);
+  ASSERT_EQ(first.size(), 1u);
+  EXPECT_TRUE(is_status(first[0], JobPhase::kQueued));
+  ASSERT_TRUE(second.empty());
+  env_.answer(404, kMissing);
+  env_.answer(200, kDone);
+  ASSERT_EQ(second.size(), 1u);
+  EXPECT_TRUE(is_status(second[0], JobPhase::kDone));
+  EXPECT_EQ(second[0].status.done, 3);
+}
+
+TEST_F(JobStatuses, HoweverManyAskThereAreTwoReadsAndABoundOnThoseWhoWait) {
+  std::vector<JobFinding> findings;
+  for (int i = 0; i < 200; i++) ask(findings);
+  EXPECT_EQ(env_.calls.size(), 1u);
+  const auto refused_at_once = findings.size();
+  EXPECT_GT(refused_at_once, 100u);
+  for (const JobFinding& found : findings) EXPECT_EQ(found.kind, JobFinding::Kind::kUndecided);
+  env_.answer(200, kOpenHead);
+  env_.answer(200, kOpenHead);
+  EXPECT_EQ(findings.size(), 200u);
+  EXPECT_TRUE(env_.calls.empty());
+  for (std::size_t i = refused_at_once; i < findings.size(); i++)
+    EXPECT_TRUE(is_status(findings[i], JobPhase::kQueued));
+}
+
+TEST_F(JobStatuses, WhatTheStateServiceDoesNotSayIsUndecided) {
+  std::vector<JobFinding> findings;
+  ask(findings);
+  env_.answer(503, R"({"error":"trouble"})");
+  ask(findings);
+  env_.answer(404, kMissing);
+  env_.answer(0, "");
+  ask(findings);
+  env_.answer(200, kSpreadHead);
+  ASSERT_EQ(findings.size(), 3u);
+  for (const JobFinding& found : findings) EXPECT_EQ(found.kind, JobFinding::Kind::kUndecided);
+}
+
+TEST_F(JobStatuses, AJobWithoutRecordsIsUnknown) {
+  std::vector<JobFinding> findings;
+  ask(findings);
+  env_.answer(404, kMissing);
+  env_.answer(404, kMissing);
+  ASSERT_EQ(findings.size(), 1u);
+  EXPECT_EQ(findings[0].kind, JobFinding::Kind::kUnknownJob);
+}
+
+// A terminal state that was read is told from then on, whatever the shard's owner still remembers.
+TEST_F(JobStatuses, ATerminalStateIsFinal) {
+  owned_ = JobFinding{JobFinding::Kind::kStatus, {JobPhase::kRunning, 1, 2}};
+  EXPECT_TRUE(is_status(*statuses_.from_memory(kJob), JobPhase::kRunning));
+  std::vector<JobFinding> findings;
+  ask(findings);
+  env_.answer(200, kCancelledHead);
+  EXPECT_TRUE(is_status(*statuses_.from_memory(kJob), JobPhase::kCancelled));
+  statuses_.note_terminal(kJob, {JobPhase::kDone, 3, 0});
+  EXPECT_TRUE(is_status(*statuses_.from_memory(kJob), JobPhase::kCancelled));
+}
+
+TEST_F(JobStatuses, TheMemoryOfEndedJobsIsBounded) {
+  for (int i = 0; i < 20000; i++)
+    statuses_.note_terminal("job-" + std::to_string(100000 + i), {JobPhase::kDone, 1, 0});
+  EXPECT_EQ(statuses_.terminal("job-100000"), nullptr);
+  EXPECT_NE(statuses_.terminal("job-119999"), nullptr);
+  EXPECT_FALSE(statuses_.from_memory("job-100000")) << "the state service tells";
+}
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -848,11 +848,13 @@
                           });
     }
     if (call.path.rfind("/changes", 0) == 0) {
-      return state.handle(call.method, call.path, call.body,
-                          [this, from, answer](int status, const Json& body) {
-                            if (state_unheard.count(from) > 0) return;
-                            answer_unrefused(from, [answer, status, body] { answer(status, body); });
-                          });
+      return state.handle(
+          call.method, call.path, call.body, [this, from, answer](int status, const Json& body) {
+            if (state_unheard.count(from) > 0) return;
+            in(watch_delay_s > 0 ? uniform(0, watch_delay_s) : 0, [this, from, answer, status, body] {
+              answer_unrefused(from, [answer, status, body] { answer(status, body); });
+            });
+          });
     }
     return state.handle(call.method, call.path, call.body, answer);
   }
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -314,8 +314,9 @@
   std::function<double(const std::string& from, const Json& body)> commit_answer;
   // Which transactions are lost on their way: they are never carried out.
   std::function<bool(const std::string& from, const Json& body)> lose_commit;
-  std::set<std::string>
-      state_unheard;  // nodes that no answer of the state service reaches; their calls arrive
+  // Nodes that no answer of the state service reaches; their calls arrive.
+  std::set<std::string> state_unheard;
+  double watch_delay_s = 0;  // answers to watches come up to so much later than other answers
   std::function<void(const std::string& ref)> on_last_done;  // the last task of a job has just completed
   bool hold_commits =
       false;  // transactions with a change wait until this is over, whoever gives up meanwhile
--- a/tests/went_back_test.cpp
+++ b/tests/went_back_test.cpp
@@ -169,7 +169,9 @@
 // The transaction that ends a job is lost on its way, and something else changes one of the records on which
 // it depends: the repeat is refused, and that must not be taken for the first copy's success.
 TEST_P(WentBack, AnEndingThatWasNeverWritten) {
-  World world(options());
+  Options five = options();
+  five.nodes = 5;  // more is lent among five shards than among three
+  World world(five);
   world.hold_share = 0;
   for (int i = 0; i < 20; i++) world.submit(plain_job(world, i, world.uniform(2, 50), 12, 25));
   std::set<std::string> spoiled;
@@ -245,6 +247,29 @@
   EXPECT_EQ(world.state.stamp(keys::part(0)), token) << "a job that had ended made the shard start over";
 }
 
+// What the watch tells comes after the answers to newer writes: blocks that were given back, and jobs that
+// have ended, do not come back with it.
+TEST_P(WentBack, TheWatchTellsOldNews) {
+  Options five = options();
+  five.nodes = 5;
+  five.jobs = 60;
+  World world(five);
+  world.watch_delay_s = 1.2;
+  add_jobs(world, 2, 150);
+  world.at(250, [&world] { world.watch_delay_s = 0; });
+  world.troubles_end = 250;
+  world.run_until(600);
+  expect_kept(world);
+  int given_back = 0;
+  for (int i = 0; i < five.nodes; i++) {
+    for (int p = 0; p < five.nodes; p++) {
+      const Part* part = world.nodes[static_cast<std::size_t>(i)].node->part(p);
+      if (part != nullptr) given_back += static_cast<int>(part->counters().given_back);
+    }
+  }
+  EXPECT_GT(given_back, 5);
+}
+
 // Everything at once, with users who look closely all the time.
 TEST_P(WentBack, ManyTroublesMeet) {
   Options rough = options();
