--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -44,7 +44,7 @@
 
 void Fleet::load() {
   ctx_.state->list(Lane::kRest, keys::kRentals,
-                   alive([this](Outcome outcome, std::vector<StateItem> items, std::uint64_t) {
+                   alive([this](Outcome outcome, const std::vector<StateItem>& items, std::uint64_t) {
                      if (outcome != Outcome::kOk) {
                        ctx_.env->after(kRetry, alive([this] { load(); }));
                        return;
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -310,7 +310,7 @@
 
 // ---------------------------------------------------------------- routing
 
-void Node::on_front(HttpRequest request, Responder responder) {
+void Node::on_front(const HttpRequest& request, const Responder& responder) {
   if (request.path == "/hello") {
     if (request.method != "POST") return responder.send(405, R"({"error":"method"})");
     on_hello(request, false, responder);
@@ -323,7 +323,7 @@
   }
 }
 
-void Node::on_back(HttpRequest request, Responder responder) {
+void Node::on_back(const HttpRequest& request, const Responder& responder) {
   if (request.path == "/peer/beat") {
     if (request.method != "POST") return responder.send(405, R"({"error":"method"})");
     on_beat(request, responder);
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -31,8 +31,8 @@
   Node& operator=(const Node&) = delete;
 
   void start();
-  void on_front(HttpRequest request, Responder responder);
-  void on_back(HttpRequest request, Responder responder);
+  void on_front(const HttpRequest& request, const Responder& responder);
+  void on_back(const HttpRequest& request, const Responder& responder);
 
   [[nodiscard]] const Part* part(int index) const;
   [[nodiscard]] const StateClient& state() const { return state_; }
--- a/src/coordination/ownership.cpp
+++ b/src/coordination/ownership.cpp
@@ -147,7 +147,7 @@
   if (reading_) return;
   reading_ = true;
   state_.list(Lane::kLease, keys::kParts,
-              [this](Outcome outcome, std::vector<StateItem> items, std::uint64_t epoch) {
+              [this](Outcome outcome, const std::vector<StateItem>& items, std::uint64_t epoch) {
                 reading_ = false;
                 if (outcome != Outcome::kOk) {
                   env_.after(kRetry, [this] { read_parts(); });
--- a/src/coordination/part_lending.cpp
+++ b/src/coordination/part_lending.cpp
@@ -69,8 +69,8 @@
   }
   const int home = *homes.begin();
   ctx_.state->list(Lane::kLease, keys::heads(home),
-                   alive([this, home, homes = std::move(homes)](Outcome outcome, std::vector<StateItem> items,
-                                                                std::uint64_t) mutable {
+                   alive([this, home, homes = std::move(homes)](
+                             Outcome outcome, const std::vector<StateItem>& items, std::uint64_t) mutable {
                      if (outcome != Outcome::kOk) {
                        ctx_.env->after(kLoadRetry, alive([this, homes = std::move(homes)]() mutable {
                                          check_borrowed(std::move(homes));
@@ -472,7 +472,7 @@
 
 void Part::load_teams() {
   ctx_.state->list(Lane::kLease, keys::kTeams,
-                   alive([this](Outcome outcome, std::vector<StateItem> items, std::uint64_t) {
+                   alive([this](Outcome outcome, const std::vector<StateItem>& items, std::uint64_t) {
                      if (outcome != Outcome::kOk) return retry_load(&Part::load_teams);
                      for (const StateItem& item : items) {
                        const int team = std::atoi(item.key.c_str() + keys::kTeams.size());
--- a/src/coordination/part_load.cpp
+++ b/src/coordination/part_load.cpp
@@ -39,7 +39,7 @@
 
 void Part::load_progress() {
   ctx_.state->list(Lane::kLease, keys::progresses(id_),
-                   alive([this](Outcome outcome, std::vector<StateItem> items, std::uint64_t) {
+                   alive([this](Outcome outcome, const std::vector<StateItem>& items, std::uint64_t) {
                      if (outcome != Outcome::kOk) return retry_load(&Part::load_progress);
                      for (const StateItem& item : items) {
                        const auto it = jobs_.find(item.key.substr(keys::progresses(id_).size()));
--- a/src/coordination/user_api.cpp
+++ b/src/coordination/user_api.cpp
@@ -91,7 +91,7 @@
   });
 }
 
-void UserApi::submit(const std::string& body, Responder responder) {
+void UserApi::submit(const std::string& body, const Responder& responder) {
   const Json json = parse_json(body);
   if (!json.is_object()) {
     responder.send(400, R"({"error":"not a JSON object"})");
@@ -155,7 +155,7 @@
 
 // ---------------------------------------------------------------- polls
 
-void UserApi::poll(const std::string& ref, bool forwarded, Responder responder) {
+void UserApi::poll(const std::string& ref, bool forwarded, const Responder& responder) {
   if (!valid_ref(ref)) {
     send_unknown(responder);
     return;
@@ -205,7 +205,7 @@
 
 // ---------------------------------------------------------------- cancellations
 
-void UserApi::cancel(const std::string& ref, bool forwarded, Responder responder) {
+void UserApi::cancel(const std::string& ref, bool forwarded, const Responder& responder) {
   if (!valid_ref(ref)) {
     send_unknown(responder);
     return;
@@ -220,7 +220,7 @@
   }
   if (Part* part = ctx_.part(part_of(ref, ctx_.ownership->parts())); part != nullptr) {
     if (part->knows(ref)) {
-      part->cancel(ref, std::move(responder));
+      part->cancel(ref, responder);
     } else {
       cancel_unknown_here(ref, responder);
     }
--- a/src/coordination/user_api.hpp
+++ b/src/coordination/user_api.hpp
@@ -27,10 +27,10 @@
   };
   explicit UserApi(Context context);
 
-  void submit(const std::string& body, Responder responder);
+  void submit(const std::string& body, const Responder& responder);
   // `forwarded`: by another node, so it is not forwarded again.
-  void poll(const std::string& ref, bool forwarded, Responder responder);
-  void cancel(const std::string& ref, bool forwarded, Responder responder);
+  void poll(const std::string& ref, bool forwarded, const Responder& responder);
+  void cancel(const std::string& ref, bool forwarded, const Responder& responder);
   // A terminal state that has become durable here.
   void note_terminal(const std::string& ref, const JobStatus& status) {
     statuses_.note_terminal(ref, status);
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -40,7 +40,7 @@
     return table_.contains(field) ? number(field, least) : otherwise;
   }
   std::string address(const std::string& field) const {
-    const std::string value = text(field);
+    std::string value = text(field);
     const auto colon = value.rfind(':');
     bool good =
         colon != std::string::npos && colon > 0 && colon + 1 < value.size() && value.size() - colon <= 6;
@@ -193,7 +193,9 @@
     char* end = nullptr;
     const double value = std::strtod(given.c_str(), &end);
     if (*end != '\0' || !std::isfinite(value) || value < 0) {
-      throw SettingsError(name + ": " + key + ": must be a number of at least 0");
+      std::string what = name;
+      what.append(": ").append(key).append(": must be a number of at least 0");
+      throw SettingsError(what);
     }
     *field = value;
   }
--- a/src/scheduling/sizing.cpp
+++ b/src/scheduling/sizing.cpp
@@ -64,7 +64,8 @@
   }
   if (!yields) return kNever;
   for (std::size_t r = 0; r < sum.size(); r++) sum[r] += early[r];
-  return fits(demand.demand, sum) ? kPreemption : kNever;
+  if (fits(demand.demand, sum)) return kPreemption;
+  return kNever;
 }
 
 // Takes the demand out of the rooms free by `at`, the latest first: what is free earlier stays for others.
--- a/src/transport/event_env.cpp
+++ b/src/transport/event_env.cpp
@@ -153,11 +153,11 @@
   while (!pool.waiting.empty() && pool.busy < kMaxConnectionsPerPeer) {
     auto exchange = pool.waiting.front();
     pool.waiting.pop_front();
-    if (!exchange->over) start(pool, std::move(exchange));
+    if (!exchange->over) start(pool, exchange);
   }
 }
 
-void EventEnv::start(Pool& pool, std::shared_ptr<Exchange> exchange) {
+void EventEnv::start(Pool& pool, const std::shared_ptr<Exchange>& exchange) {
   if (!pool.idle.empty()) {
     exchange->wire = std::move(pool.idle.back());
     pool.idle.pop_back();
--- a/src/transport/event_env.hpp
+++ b/src/transport/event_env.hpp
@@ -42,7 +42,7 @@
   struct Wire;
   static void on_timer(evutil_socket_t, short, void* arg);
   static void on_reply(evhttp_request* request, void* arg);
-  void start(Pool& pool, std::shared_ptr<Exchange> exchange);
+  void start(Pool& pool, const std::shared_ptr<Exchange>& exchange);
   void pump(Pool& pool);
   void finish(const std::shared_ptr<Exchange>& exchange, HttpReply reply, bool reusable);
 
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 constexpr double kCancel = 42.0;
-constexpr std::size_t kBody = 64 * 1024;  // of a request, a transaction, a line of an answer
+constexpr std::size_t kBody = std::size_t{64} * 1024;  // of a request, a transaction, a line of an answer
 const char* const kState = "10.2.0.1:2379";
 const char* const kCloud = "10.2.0.2:8443";
 
@@ -620,7 +620,7 @@
 
 // ---------------------------------------------------------------- the world
 
-World::World(Options options_in)
+World::World(const Options& options_in)
     : rng(options_in.seed),
       options(options_in),
       state(*this),
@@ -716,7 +716,7 @@
   Process& process = nodes[static_cast<std::size_t>(index)];
   if (!process.node || process.frozen) return;
   process.frozen = true;
-  in(for_s, [this, &process] {
+  in(for_s, [&process] {
     if (!process.frozen) return;  // it ended meanwhile
     process.frozen = false;
     const auto held = std::move(process.held);
@@ -790,7 +790,7 @@
        [this, from, copy] { deliver(from, copy, [](const HttpReply&) {}); });
   }
   in(delay, [this, from, call, finish] {
-    deliver(from, call, [this, finish](HttpReply answer) {
+    deliver(from, call, [this, finish](const HttpReply& answer) {
       if (uniform(0, 1) < options.loss) return;  // executed, but the answer is lost
       in(uniform(0.001, 0.006), [finish, answer] { finish(answer); });
     });
@@ -814,14 +814,21 @@
     if (copy) orders_to_copies++;
     const auto since = isolated.find(node);
     // Its lease in the state service is over by then.
-    if (since != isolated.end() && now - since->second > 6) broken("started alone: " + node + " on " + from);
+    if (since != isolated.end() && now - since->second > 6)
+      broken(std::string("started alone: ").append(node).append(" on ").append(from));
     if (worker != workers.end() && worker->second->deaf) {
-      launches_to_deaf[from + " " + order["piece"].get<std::string>() + " " + order["try_no"].dump()]++;
+      std::string attempt = from;
+      attempt.append(" ")
+          .append(order["piece"].get<std::string>())
+          .append(" ")
+          .append(order["try_no"].dump());
+      launches_to_deaf[attempt]++;
     }
   }
 }
 
-void World::deliver(const std::string& from, const HttpCall& sent, std::function<void(HttpReply)> reply) {
+void World::deliver(const std::string& from, const HttpCall& sent,
+                    const std::function<void(HttpReply)>& reply) {
   HttpCall call = sent;
   const bool copy = call.path.ends_with("#copy");
   if (copy) call.path.resize(call.path.size() - 5);
@@ -839,7 +846,7 @@
     }
     if (call.path == "/commit" && (on_commit || commit_answer)) {
       return state.handle(call.method, call.path, call.body,
-                          [this, from, call, answer](int status, Json body) {
+                          [this, from, call, answer](int status, const Json& body) {
                             const Json txn = parse_json(call.body);
                             if (status == 200 && on_commit) on_commit(from, txn);
                             const double later = commit_answer ? commit_answer(from, txn) : 0;
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -244,7 +244,7 @@
 
 class World {
  public:
-  explicit World(Options options);
+  explicit World(const Options& options_in);
   ~World();
 
   void at(double time, std::function<void()> action);
@@ -345,7 +345,7 @@
   void note_size(const std::string& kind, std::size_t bytes, std::size_t limit);
   // Runs it now, or when the node goes on; not at all if the process has ended since.
   void on_node(int index, std::function<void()> action);
-  void deliver(const std::string& from, const HttpCall& call, std::function<void(HttpReply)> reply);
+  void deliver(const std::string& from, const HttpCall& call, const std::function<void(HttpReply)>& reply);
   void answer_unrefused(const std::string& node, std::function<void()> answer);
   void watch_answer(const std::string& from, const std::string& node, const HttpCall& call,
                     const HttpAnswer& out, bool copy);
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -166,7 +166,7 @@
     for (const auto& [name, known] : names) {
       if (known == value) return name;
     }
-    const std::string name = letter + std::to_string(names.size() + 1);
+    std::string name = letter + std::to_string(names.size() + 1);
     names.emplace(name, value);
     return name;
   }
