--- a/tests/went_back_test.cpp
+++ b/tests/went_back_test.cpp
@@ -52,6 +52,23 @@
       for (int b = 0; b < a; b++) world.cuts.insert({node_name(a), node_name(b)});
     }
   }
+  // From 20 s to 130 s no node reaches another, and the answers to the chosen transactions arrive so much
+  // later, or not at all. `disturbed` counts them.
+  static void disturb_answers(World& world, const std::function<bool(const Json&)>& chosen,
+                              const std::function<double()>& delay_s, int& disturbed) {
+    world.hold_share = 0;
+    world.commit_answer = [chosen, delay_s, &disturbed](const std::string&, const Json& transaction) {
+      if (!chosen(transaction)) return 0.0;
+      disturbed++;
+      return delay_s();
+    };
+    world.at(20, [&world] { cut_all_peers(world); });
+    world.at(130, [&world] {
+      world.mend_nodes();
+      world.commit_answer = nullptr;
+    });
+    world.troubles_end = 130;
+  }
 };
 
 }  // namespace
@@ -60,20 +77,10 @@
 // read the ending and tell it; the owner must not say "running" until it has found out.
 TEST_P(WentBack, TheAnswerToAnEndingIsLost) {
   World world(options());
-  world.hold_share = 0;
   add_jobs(world, 2, 100);
   int lost = 0;
-  world.commit_answer = [&lost](const std::string&, const Json& transaction) {
-    if (!is_ending(transaction)) return 0.0;
-    lost++;
-    return kLost;
-  };
-  world.at(20, [&world] { cut_all_peers(world); });
-  world.at(130, [&world] {
-    world.mend_nodes();
-    world.commit_answer = nullptr;
-  });
-  world.troubles_end = 130;
+  disturb_answers(
+      world, is_ending, [] { return kLost; }, lost);
   world.run_until(500);
   expect_kept(world);
   EXPECT_GT(lost, 5);
@@ -82,20 +89,10 @@
 // The same with an answer that is merely slow.
 TEST_P(WentBack, TheAnswerToAnEndingIsSlow) {
   World world(options());
-  world.hold_share = 0;
   add_jobs(world, 2, 100);
   int slow = 0;
-  world.commit_answer = [&](const std::string&, const Json& transaction) {
-    if (!is_ending(transaction)) return 0.0;
-    slow++;
-    return world.uniform(0.2, 1.4);
-  };
-  world.at(20, [&world] { cut_all_peers(world); });
-  world.at(130, [&world] {
-    world.mend_nodes();
-    world.commit_answer = nullptr;
-  });
-  world.troubles_end = 130;
+  disturb_answers(
+      world, is_ending, [&world] { return world.uniform(0.2, 1.4); }, slow);
   world.run_until(500);
   expect_kept(world);
   EXPECT_GT(slow, 5);
@@ -104,15 +101,10 @@
 // The transaction that cancels a job is carried out, and its answer is lost.
 TEST_P(WentBack, TheAnswerToACancellationIsLost) {
   World world(options());
-  world.hold_share = 0;
   add_jobs(world, 2, 90);
   int lost = 0;
-  world.commit_answer = [&lost](const std::string&, const Json& transaction) {
-    if (!is_cancellation(transaction)) return 0.0;
-    lost++;
-    return kLost;
-  };
-  world.at(20, [&world] { cut_all_peers(world); });
+  disturb_answers(
+      world, is_cancellation, [] { return kLost; }, lost);
   for (double t = 25; t < 110; t += 6) {
     world.at(t, [&world] {
       for (auto& [ref, job] : world.jobs) {
@@ -120,11 +112,6 @@
       }
     });
   }
-  world.at(130, [&world] {
-    world.mend_nodes();
-    world.commit_answer = nullptr;
-  });
-  world.troubles_end = 130;
   world.run_until(500);
   expect_kept(world);
   EXPECT_GT(lost, 3);
