Reread: what a lost write would show is read from its body only then; one body for cancellations, one reader of terminal states

Every commit copied the records it puts, for the rare case that its answer is lost: they are taken from the body then. JobStatusService no longer takes an environment that it did not use; three tests of 'terminal' are one. lease_valid of parts and the fleet is called exclusive_owner, which it has been since shards are not vouched for while they are sent home.

--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -74,7 +74,7 @@
 
 void Fleet::step() {
   const double now = ctx_.env->now();
-  if (ctx_.lease_valid()) {
+  if (ctx_.exclusive_owner()) {
     double used = 0;
     // Beyond a team's limit its waiting tasks need no machines, however many there are.
     std::map<int, double> wanted;
--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -30,7 +30,7 @@
     NameTable* halls = nullptr;
     std::uint64_t baton = 0;  // of part 0
     int parts = 1;
-    std::function<bool()> lease_valid;
+    std::function<bool()> exclusive_owner;
     std::function<void(MachineTypes)> new_types;
   };
   explicit Fleet(Context context);
--- a/src/coordination/job_status.cpp
+++ b/src/coordination/job_status.cpp
@@ -28,11 +28,13 @@
   return "";
 }
 
-std::optional<JobPhase> job_phase(const std::string& wire_name_in) {
-  for (const JobPhase phase :
-       {JobPhase::kQueued, JobPhase::kRunning, JobPhase::kDone, JobPhase::kCancelled}) {
-    if (wire_name_in == wire_name(phase)) return phase;
-  }
+std::string cancellation_body(const std::string& ref, JobPhase phase) {
+  return dump_json({{"ref", ref}, {"phase", wire_name(phase)}});
+}
+
+std::optional<JobStatus> terminal_status(const std::string& name, int done) {
+  if (name == wire_name(JobPhase::kDone)) return JobStatus{JobPhase::kDone, done, 0};
+  if (name == wire_name(JobPhase::kCancelled)) return JobStatus{JobPhase::kCancelled, 0, 0};
   return std::nullopt;
 }
 
@@ -107,20 +109,16 @@
       return;
     }
     const Json ending = reply.ok() ? reply.body.value("data", Json()) : Json();
-    const auto phase = ending.is_object() ? job_phase(ending.value("phase", "")) : std::nullopt;
-    const JobStatus status{phase.value_or(JobPhase::kQueued), 0, 0};
-    if (!status.terminal()) {
-      finish_read(ref, finding(JobFinding::Kind::kUndecided));
-      return;
-    }
-    const int done = phase == JobPhase::kDone ? ending.value("pieces", 0) : 0;
-    finish_read(ref, {JobFinding::Kind::kStatus, {*phase, done, 0}});
+    const auto status = ending.is_object()
+                            ? terminal_status(ending.value("phase", ""), ending.value("pieces", 0))
+                            : std::nullopt;
+    finish_read(
+        ref, status ? JobFinding{JobFinding::Kind::kStatus, *status} : finding(JobFinding::Kind::kUndecided));
   });
 }
 
 void JobStatusService::finish_read(const std::string& ref, const JobFinding& finding) {
-  if (finding.kind == JobFinding::Kind::kStatus && finding.status.terminal())
-    note_terminal(ref, finding.status);
+  if (finding.terminal()) note_terminal(ref, finding.status);
   const auto it = readings_.find(ref);
   const std::vector<Handler> served = std::exchange(it->second.served, {});
   if (it->second.waiting.empty()) {
--- a/src/coordination/job_status.hpp
+++ b/src/coordination/job_status.hpp
@@ -29,7 +29,9 @@
 
 // The phase's name on the wire.
 [[nodiscard]] const char* wire_name(JobPhase phase);
-[[nodiscard]] std::optional<JobPhase> job_phase(const std::string& wire_name);
+
+// The body of the answer to a cancellation of a job that has ended.
+[[nodiscard]] std::string cancellation_body(const std::string& ref, JobPhase phase);
 
 struct JobStatus {
   JobPhase phase = JobPhase::kQueued;
@@ -40,6 +42,9 @@
   [[nodiscard]] std::string to_body(const std::string& ref) const;
 };
 
+// The terminal state of this name on the wire; nothing where the name is not one's.
+[[nodiscard]] std::optional<JobStatus> terminal_status(const std::string& wire_name, int done);
+
 // What is known about a job, by the owner of its shard or by a read of the state service.
 struct JobFinding {
   enum class Kind {
@@ -50,13 +55,13 @@
   };
   Kind kind = Kind::kUndecided;
   JobStatus status;
+  [[nodiscard]] bool terminal() const { return kind == Kind::kStatus && status.terminal(); }
   [[nodiscard]] bool tellable() const { return kind == Kind::kStatus || kind == Kind::kBeingCancelled; }
 };
 
 class JobStatusService {
  public:
   struct Context {
-    Env* env = nullptr;
     StateClient* state = nullptr;
     // The number of shards; 0: not known yet.
     std::function<int()> shard_count;
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -143,7 +143,7 @@
   context.parts = ownership_.parts();
   context.ask = [this](int other, const std::string& path, const Json& body,
                        std::function<void(Json)> answer) { ask(other, path, body, std::move(answer)); };
-  context.lease_valid = [this, part] { return ownership_.exclusive(part); };
+  context.exclusive_owner = [this, part] { return ownership_.exclusive(part); };
   context.may_renew = [this, part] { return ownership_.may_renew(part); };
   context.owner_since = [this](int other) { return ownership_.owner(other).baton; };
   // Both end the part that calls: they run after its own code has returned.
@@ -173,7 +173,7 @@
     fleet.halls = &halls_;
     fleet.baton = baton;
     fleet.parts = ownership_.parts();
-    fleet.lease_valid = [this, part] { return ownership_.exclusive(part); };
+    fleet.exclusive_owner = [this, part] { return ownership_.exclusive(part); };
     fleet.new_types = [this](MachineTypes types) {
       env_.after(0, [this, types = std::move(types)]() mutable { take_types(std::move(types), false); });
     };
--- a/src/coordination/part.cpp
+++ b/src/coordination/part.cpp
@@ -70,7 +70,7 @@
 void Part::cancel(const std::string& ref, Responder responder) {
   const JobPtr& job = jobs_.at(ref);
   if (job->confirmed) {
-    responder.send(200, dump_json({{"ref", ref}, {"phase", "aborted"}}));
+    responder.send(200, cancellation_body(ref, JobPhase::kCancelled));
     return;
   }
   if (state_silent()) {
@@ -146,7 +146,7 @@
   // An idle machine has nothing to tell: its report is answered when there is work, or a little later.
   // (Workers wait 4 s, and their lease counts from when the report was sent.)
   const bool nothing_to_say =
-      machine.strays.empty() && machine.acked && machine.welcome() && ctx_.lease_valid();
+      machine.strays.empty() && machine.acked && machine.welcome() && ctx_.exclusive_owner();
   const bool idle = nothing_to_say && machine.placements.empty();
   const bool roomy =
       nothing_to_say && machine.room[0] >= 1 &&
--- a/src/coordination/part.hpp
+++ b/src/coordination/part.hpp
@@ -36,8 +36,8 @@
     const MachineTypes* types = nullptr;
     NameTable* halls = nullptr;
     int parts = 1;
-    std::function<bool()> lease_valid;  // nobody else can own this part (Ownership::exclusive)
-    std::function<bool()> may_renew;    // the workers' leases (Ownership::may_renew)
+    std::function<bool()> exclusive_owner;  // nobody else can own this part (Ownership::exclusive)
+    std::function<bool()> may_renew;        // the workers' leases (Ownership::may_renew)
     // The revision at which the part got the owner that is known of, or lost its last one.
     std::function<std::uint64_t(int part)> owner_since;
     // Asks the owner of another part; a null answer when it cannot be reached.
--- a/src/coordination/part_cancel.cpp
+++ b/src/coordination/part_cancel.cpp
@@ -102,7 +102,7 @@
   const std::string& ref = job->spec().ref;
   spdlog::info("{}: cancellation confirmed", ref);
   for (const Job::CancelWaiter& waiter : job->cancel_waiters) {
-    waiter.responder.send(200, dump_json({{"ref", ref}, {"phase", "aborted"}}));
+    waiter.responder.send(200, cancellation_body(ref, JobPhase::kCancelled));
   }
   job->cancel_waiters.clear();
   ctx_.ended(ref, {JobPhase::kCancelled, 0, 0});
@@ -118,7 +118,7 @@
     it->second->acknowledged = true;
   }
   pump();
-  return {{"noted", noted}, {"valid", ctx_.lease_valid()}, {"baton", baton_}};
+  return {{"noted", noted}, {"valid", ctx_.exclusive_owner()}, {"baton", baton_}};
 }
 
 // Borrower: where the home does not reach us, it reads that we know. (A block without tasks on machines is
--- a/src/coordination/part_commit.cpp
+++ b/src/coordination/part_commit.cpp
@@ -12,6 +12,9 @@
 constexpr double kPageFill = 0.75;       // of the value size
 constexpr double kPageShare = 0.45;      // of the part's share of changes, for the journal
 constexpr std::size_t kMergeBlocks = 3;  // completed blocks worth a transaction of their own
+
+// Two parts write these: the one that lends and the one that borrows.
+bool is_block(const std::string& key) { return key.rfind(keys::kBlocks, 0) == 0; }
 }  // namespace
 
 Transaction Part::guarded() const {
@@ -33,18 +36,35 @@
   int slot = 0;
   std::string body;
   int changes = 0;
-  std::set<std::string> own;       // keys it changes
-  std::set<std::string> evidence;  // of these, the ones that nobody else writes
+  std::set<std::string> own;  // keys it changes
+  bool unanswered = false;    // a copy may have been carried out
   struct Effect {
     std::string key;
     std::optional<Json> data;  // none: the key is gone
   };
-  std::vector<Effect> effects;  // what a read can show of it: puts first
-  bool unanswered = false;      // a copy may have been carried out
+  std::vector<Effect> effects;  // what a read can show of it; looked for when its answer is lost
   std::function<void(std::uint64_t)> done;
   Conflict conflict;
+  // Puts of keys that nobody else writes; where there is no such key, puts of blocks, then deletions.
+  [[nodiscard]] std::vector<Effect> visible_effects() const;
 };
 
+std::vector<Part::Write::Effect> Part::Write::visible_effects() const {
+  const bool only_blocks = std::all_of(own.begin(), own.end(), is_block);
+  const Json changes_made = parse_json(body)["then"];
+  std::vector<Effect> out;
+  for (const Json& change : changes_made) {
+    if (!change.contains("put")) continue;
+    const auto key = change["put"].get<std::string>();
+    if (only_blocks || !is_block(key)) out.push_back({key, change["data"]});
+  }
+  for (const Json& change : changes_made) {
+    if (only_blocks && !change.contains("put"))
+      out.push_back({change["delete"].get<std::string>(), std::nullopt});
+  }
+  return out;
+}
+
 void Part::send_commit(Lane lane, int slot, const Transaction& txn, std::function<void(std::uint64_t)> done,
                        Conflict conflict) {
   inflight_[slot]++;
@@ -53,23 +73,8 @@
   write->slot = slot;
   write->body = txn.body();
   write->changes = static_cast<int>(txn.then.size());
-  for (const Json& change : txn.then) {
-    const bool put = change.contains("put");
-    const std::string key = change.at(put ? "put" : "delete").get<std::string>();
-    write->own.insert(key);
-    if (key.rfind(keys::kBlocks, 0) != 0) write->evidence.insert(key);
-    if (put) write->effects.push_back({key, change.at("data")});
-  }
-  if (write->evidence.empty()) {
-    for (const std::string& key : write->own) {
-      const auto is_put = [&key](const Write::Effect& effect) { return effect.key == key; };
-      if (std::none_of(write->effects.begin(), write->effects.end(), is_put))
-        write->effects.push_back({key, std::nullopt});
-    }
-  } else {
-    std::erase_if(write->effects,
-                  [&write](const auto& effect) { return write->evidence.count(effect.key) == 0; });
-  }
+  for (const Json& change : txn.then)
+    write->own.insert(change.at(change.contains("put") ? "put" : "delete").get<std::string>());
   write->done = std::move(done);
   write->conflict = std::move(conflict);
   try_commit(write);
@@ -94,14 +99,19 @@
   if (reply.outcome == Outcome::kConflict && reply.body.is_object() && reply.body.contains("failed")) {
     for (const Json& key : reply.body["failed"]) failed.push_back(key.get<std::string>());
   }
-  const auto any_in = [&failed](const std::set<std::string>& wanted) {
-    return std::any_of(failed.begin(), failed.end(),
-                       [&wanted](const auto& key) { return wanted.count(key) > 0; });
-  };
   const bool owner = std::find(failed.begin(), failed.end(), keys::part(id_)) == failed.end();
-  const bool own = any_in(write->own);
-  const bool maybe_done = write->evidence.empty() ? own : any_in(write->evidence);
-  if (owner && write->unanswered && maybe_done) return find_stamp(write, 0, reply.epoch());
+  const bool only_blocks = std::all_of(write->own.begin(), write->own.end(), is_block);
+  bool own = false;
+  bool maybe_done = false;
+  for (const std::string& key : failed) {
+    if (write->own.count(key) == 0) continue;
+    own = true;
+    maybe_done |= only_blocks || !is_block(key);
+  }
+  if (owner && write->unanswered && maybe_done) {
+    write->effects = write->visible_effects();
+    return find_stamp(write, 0, reply.epoch());
+  }
   if (!failed.empty() && owner && !own && write->conflict && write->conflict(failed)) {
     stuck_since_ = 0;
     inflight_[write->slot]--;
@@ -125,8 +135,7 @@
                       ctx_.env->after(0.3, alive([this, write, at, epoch] { find_stamp(write, at, epoch); }));
                       return;
                     }
-                    const bool certain = !write->evidence.empty();
-                    if (certain || (effect.data && reply.body["data"] == *effect.data)) {
+                    if (!is_block(effect.key) || (effect.data && reply.body["data"] == *effect.data)) {
                       return settle(*write, reply.body.value("stamp", std::uint64_t{0}));
                     }
                     ctx_.abdicate("a block that it writes was changed: " + effect.key);
@@ -698,7 +707,7 @@
       const std::string ref = job->spec().ref;
       spdlog::info("{} done after {:.1f} s", ref, ctx_.env->wall() - job->head.submitted);
       for (const Job::CancelWaiter& waiter : job->cancel_waiters) {
-        waiter.responder.send(200, dump_json({{"ref", ref}, {"phase", "done"}}));
+        waiter.responder.send(200, cancellation_body(ref, JobPhase::kDone));
       }
       ctx_.ended(ref, {JobPhase::kDone, job->spec().pieces, 0});
       job->unsaved.clear();
--- a/src/coordination/part_fill.cpp
+++ b/src/coordination/part_fill.cpp
@@ -163,7 +163,7 @@
   if (machine.type < 0 || !machine.welcome() || now < machine.no_fill_until) return;
   // A machine that has not shown our token may be a late copy of a report, of a machine that is no more.
   if (!machine.acked) return;
-  if (state_silent() || !ctx_.lease_valid()) return;
+  if (state_silent() || !ctx_.exclusive_owner()) return;
   if (!fits({0.01, 0, 0}, machine.room)) return;
   const bool keep_for_large = keeps_for_large(machine);
   const std::map<int, const Job*> saved_for = saving();
@@ -262,7 +262,7 @@
   std::vector<Order> orders;
   // A cancellation can have been promised by another owner since our lease ran out. And a report that does
   // not show our token may be a late copy from before we owned the part: orders would be wasted on it.
-  const bool may_launch = ctx_.lease_valid() && machine.acked;
+  const bool may_launch = ctx_.exclusive_owner() && machine.acked;
   bool again = false;
   for (Placement& placement : machine.placements) {
     if (placement.stage != Placement::Stage::kRecorded) continue;
--- a/src/coordination/part_lending.cpp
+++ b/src/coordination/part_lending.cpp
@@ -254,7 +254,7 @@
 // With room that our own waiting tasks do not fill, we ask the other parts in turn.
 void Part::borrow() {
   const double now = ctx_.env->now();
-  if (borrowing_ || now < next_borrow_ || state_silent() || !ctx_.lease_valid()) return;
+  if (borrowing_ || now < next_borrow_ || state_silent() || !ctx_.exclusive_owner()) return;
   next_borrow_ = now + kBorrowEvery;
   // Others' work that goes before best-effort work gets the room of ours too.
   const bool others_wait = best_effort_here_ && std::any_of(elsewhere_.begin(), elsewhere_.end(),
@@ -312,7 +312,7 @@
   // Durable already, whoever says so and however late: it needs no lease of ours.
   // While we load, too: blocks that are not read yet are checked after they have been.
   if (path == "/peer/called_off") return on_called_off(body);
-  if (!active_ || state_silent() || !ctx_.lease_valid()) return {{"lent", 0}};
+  if (!active_ || state_silent() || !ctx_.exclusive_owner()) return {{"lent", 0}};
   try {
     if (path == "/peer/borrow") return {{"lent", on_borrow(body)}};
     if (path == "/peer/allow") on_allow(body);
--- a/src/coordination/part_preempt.cpp
+++ b/src/coordination/part_preempt.cpp
@@ -183,7 +183,7 @@
 
 // Stops best-effort tasks for other work that has waited for room for a moment.
 void Part::preempt() {
-  if (!best_effort_here_ || state_silent() || !ctx_.lease_valid()) return;
+  if (!best_effort_here_ || state_silent() || !ctx_.exclusive_owner()) return;
   const double wall = ctx_.env->wall();
   std::vector<const Job*> waiting;
   for (const auto& [name, job] : jobs_) {
--- a/src/coordination/user_api.cpp
+++ b/src/coordination/user_api.cpp
@@ -36,15 +36,11 @@
   }
 }
 
-// The answer to a cancellation of a job that has ended.
-void send_phase(const std::string& ref, const JobStatus& status, const Responder& responder) {
-  responder.send(200, dump_json({{"ref", ref}, {"phase", wire_name(status.phase)}}));
-}
 }  // namespace
 
 UserApi::UserApi(Context context)
     : ctx_(std::move(context)),
-      statuses_({ctx_.env, ctx_.state, [this] { return ctx_.ownership->parts(); },
+      statuses_({ctx_.state, [this] { return ctx_.ownership->parts(); },
                  [this](const std::string& ref) -> std::optional<JobFinding> {
                    if (ctx_.ownership->parts() == 0) return std::nullopt;
                    const int index = part_of(ref, ctx_.ownership->parts());
@@ -60,9 +56,8 @@
 void UserApi::pass_on(const std::string& ref, const std::string& body, const Responder& responder) {
   const Json answer = parse_json(body);
   if (answer.is_object()) {
-    const auto phase = job_phase(answer.value("phase", ""));
-    const JobStatus status{phase.value_or(JobPhase::kQueued), answer.value("done", 0), 0};
-    if (status.terminal()) statuses_.note_terminal(ref, status);
+    const auto status = terminal_status(answer.value("phase", ""), answer.value("done", 0));
+    if (status) statuses_.note_terminal(ref, *status);
   }
   responder.send(200, body);
 }
@@ -195,10 +190,11 @@
 void UserApi::poll_state(const std::string& ref, const JobStatus& open, const Responder& responder) {
   const double asked = ctx_.env->now();
   statuses_.read(ref, [this, ref, open, asked, responder](JobFinding found) {
-    const bool has_status = found.kind == JobFinding::Kind::kStatus;
     const bool late = ctx_.env->now() - asked > kPollSeconds;
-    if (has_status && !found.status.terminal()) found.status = open;
-    if (late && !(has_status && found.status.terminal())) found = {};
+    if (!found.terminal()) {
+      if (late) found = {};
+      found.status = open;
+    }
     send_finding(ref, found, responder);
   });
 }
@@ -211,7 +207,7 @@
     return;
   }
   if (const JobStatus* status = statuses_.terminal(ref); status != nullptr) {
-    send_phase(ref, *status, responder);
+    responder.send(200, cancellation_body(ref, status->phase));
     return;
   }
   if (ctx_.ownership->parts() == 0) {
@@ -236,8 +232,8 @@
 
 void UserApi::cancel_unknown_here(const std::string& ref, const Responder& responder) {
   statuses_.read(ref, [ref, responder](const JobFinding& found) {
-    if (found.kind == JobFinding::Kind::kStatus && found.status.terminal()) {
-      send_phase(ref, found.status, responder);
+    if (found.terminal()) {
+      responder.send(200, cancellation_body(ref, found.status.phase));
     } else if (found.kind == JobFinding::Kind::kUnknownJob) {
       send_unknown(responder);
     } else {
--- a/tests/job_status_test.cpp
+++ b/tests/job_status_test.cpp
@@ -41,8 +41,7 @@
   ScriptedEnv env_;
   StateClient state_{env_, settings_};
   std::optional<JobFinding> owned_;
-  JobStatusService statuses_{
-      {&env_, &state_, [] { return 3; }, [this](const std::string&) { return owned_; }}};
+  JobStatusService statuses_{{&state_, [] { return 3; }, [this](const std::string&) { return owned_; }}};
 };
 
 }  // namespace
--- a/tests/sim/users.cpp
+++ b/tests/sim/users.cpp
@@ -53,9 +53,10 @@
     job.told_done = true;
   } else if (phase == "aborted") {
     if (!job.cancel_asked) world_.broken("went_back: " + ref + " cancelled by nobody");
-    if (!job.told_aborted) job.aborted_at = world_.now;
-    if (!job.told_aborted && world_.options.close_looks) look_closely(ref, 20, 0.1);
-    job.told_aborted = true;
+    if (!std::exchange(job.told_aborted, true)) {
+      job.aborted_at = world_.now;
+      if (world_.options.close_looks) look_closely(ref, 20, 0.1);
+    }
   } else if (known && question == Question::kCancellation) {
     world_.broken("cancel of " + ref + " answered " + phase);
   }
