Writes fit the announced limits of the state service; larger pages are taken apart, the rate follows refusals

Cause: state.next announces smaller values and transactions, from some moment without notice; what the version in production writes (8 KiB pages) would be refused then. From the start every write now fits the smaller of both. A page that is too large is spread over itself and new pages in one transaction. Completions that fit no record go to further records. A 400 for size makes writes smaller instead of giving the part up. The rate is cut on 429, not below what is announced.

--- a/src/bookkeeping/ledger.hpp
+++ b/src/bookkeeping/ledger.hpp
@@ -50,6 +50,12 @@
   bool fold_due = false;   // what the journal's pages hold of its completions has grown long
   double least_cores = 0;  // of the smallest machine type that can hold a task
   std::uint64_t progress_stamp = 0;
+  // Completions that do not fit into one record: in further ones, by the hundreds of tasks that each covers.
+  struct ProgressPart {
+    std::uint64_t revision = 0;
+    RangeSet done;
+  };
+  std::map<int, ProgressPart> progress_parts;
   bool progress_inflight = false;
 
   int placed = 0;
@@ -144,6 +150,7 @@
 struct Page {
   std::uint64_t stamp = 0;               // 0: not written yet
   bool dirty = false;                    // a placement in it has ended and must go from it
+  bool oversized = false;                // as read: larger than what may be written now
   std::map<std::string, RangeSet> done;  // by job or block
 };
 
--- a/src/bookkeeping/ranges.cpp
+++ b/src/bookkeeping/ranges.cpp
@@ -1,6 +1,8 @@
 #include "bookkeeping/ranges.hpp"
 
+#include <algorithm>
 #include <charconv>
+#include <iterator>
 
 namespace mothslip {
 
@@ -49,6 +51,17 @@
   return ranges_.begin()->first;
 }
 
+RangeSet RangeSet::slice(int first, int last) const {
+  RangeSet out;
+  auto it = ranges_.upper_bound(first);
+  if (it != ranges_.begin()) it = std::prev(it);
+  for (; it != ranges_.end() && it->first < last; ++it)
+    out.insert(std::max(first, it->first), std::min(last, it->second));
+  return out;
+}
+
+std::size_t RangeSet::text_bytes() const { return to_text().size(); }
+
 std::string RangeSet::to_text() const {
   std::string out;
   int at = 0;
--- a/src/bookkeeping/ranges.hpp
+++ b/src/bookkeeping/ranges.hpp
@@ -23,10 +23,13 @@
   [[nodiscard]] int size() const { return size_; }
   [[nodiscard]] bool empty() const { return size_ == 0; }
   [[nodiscard]] std::optional<int> first() const;
+  // What lies in [first, last).
+  [[nodiscard]] RangeSet slice(int first, int last) const;
   [[nodiscard]] std::size_t range_count() const { return ranges_.size(); }
   [[nodiscard]] const std::map<int, int>& ranges() const { return ranges_; }
 
   [[nodiscard]] std::string to_text() const;
+  [[nodiscard]] std::size_t text_bytes() const;  // of to_text()
   static std::optional<RangeSet> from_text(const std::string& text, int limit);
 
  private:
--- a/src/bookkeeping/records.hpp
+++ b/src/bookkeeping/records.hpp
@@ -1,11 +1,13 @@
 // What the state service holds, and under which keys.
 //
 //   meta                     {"parts":N,"form":F}, written once
-//   types                    the machine types last heard from the cloud
+//   types                    the machine types last heard from the cloud; types~N: in several records, where
+//                            they are too many for one
 //   parts/P                  owner of part P, under its lease; the put's revision is the part's baton
 //   w/j/P/REF                head of an open job: its description; changes only on cancel, gone at the end.
 //                            (Cancelled and `spread`: whether its borrowers know, only its owner can tell.)
 //   d/P/REF                  progress of an open job: the done indices as ranges
+//   d/P/REF~N                further parts of it, where one record would be too large
 //   e/P/REF                  how a job ended; kept for good
 //   h/P/N                    page N of part P's journal: placements by machine, and completions that the
 //                            jobs' own records do not hold yet
@@ -33,6 +35,7 @@
 namespace keys {
 inline const std::string kMeta = "meta";
 inline const std::string kTypes = "types";
+inline const std::string kSplitTypes = "types~";
 inline const std::string kParts = "parts/";
 inline const std::string kRentals = "rentals/";
 inline const std::string kWatched = "w/";
@@ -46,6 +49,9 @@
 inline std::string pages(int p) { return "h/" + std::to_string(p) + "/"; }
 inline std::string head(int p, const std::string& ref) { return heads(p) + ref; }
 inline std::string progress(int p, const std::string& ref) { return progresses(p) + ref; }
+inline std::string progress_part(int p, const std::string& ref, int number) {
+  return progress(p, ref) + "~" + std::to_string(number);
+}
 inline std::string ending(int p, const std::string& ref) { return endings(p) + ref; }
 inline std::string page(int p, int number) { return pages(p) + std::to_string(number); }
 inline std::string blocks(int p, const std::string& ref) {
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -27,8 +27,10 @@
 constexpr double kSilentPart = 20.0;
 constexpr std::size_t kReturnShare = 30;  // one in so many machines may go back a step
 constexpr int kRentCalls = 24;
-constexpr double kBestEffortStart = 120.0;  // machines are rented for best-effort work that waits longer
-constexpr double kAskedFor = 10.0;          // a rental without an answer is counted on this long
+constexpr double kBestEffortStart = 120.0;       // machines are rented for best-effort work that waits longer
+constexpr std::size_t kRentalFrame = 40;         // bytes of a rental's record without its requests
+constexpr std::size_t kRentalRequestFrame = 60;  // and of a request without its names
+constexpr double kAskedFor = 10.0;               // a rental without an answer is counted on this long
 }  // namespace
 
 Fleet::Fleet(Context context) : ctx_(std::move(context)) {
@@ -575,11 +577,16 @@
 void Fleet::rent(const std::vector<FleetPlan::Rent>& wanted) {
   const std::string name = "r-" + std::to_string(ctx_.baton) + "-" + std::to_string(++next_name_);
   Rental rental;
+  std::size_t bytes = kRentalFrame;
+  const auto most_bytes = static_cast<std::size_t>(ctx_.settings->value_kb * 1024);
   for (const FleetPlan::Rent& each : wanted) {
     for (int left = each.count; left > 0 && rent_calls_ < kRentCalls; left -= 50) {
       const std::string own = name + "." + std::to_string(rental.requests.size());
-      rental.requests.push_back(
-          {own, ctx_.types->at(each.type).name, ctx_.halls->name(each.hall), each.spot, std::min(50, left)});
+      RentalRequest request = {own, ctx_.types->at(each.type).name, ctx_.halls->name(each.hall), each.spot,
+                               std::min(50, left)};
+      bytes += kRentalRequestFrame + request.flavour.size() + request.hall.size();
+      if (bytes > most_bytes && !rental.requests.empty()) break;  // what a record can't hold comes next time
+      rental.requests.push_back(std::move(request));
       rental.open.insert(own);
       rent_calls_++;
     }
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -19,6 +19,18 @@
 // Of the state service's limits: what every node may use for its users, and what goes with the parts.
 constexpr double kUsersShare = 0.3;
 constexpr double kDrift = 0.001;  // of two steady clocks, twice what the protocol allows
+
+// The machine types of several records, unless one of them is missing.
+std::optional<MachineTypes> join_types(const std::vector<StateItem>& items) {
+  Json all = {{"flavours", Json::array()}};
+  for (const StateItem& item : items) {
+    if (!item.data.is_object() || item.data.value("records", 0) != static_cast<int>(items.size()) ||
+        !item.data.contains("flavours"))
+      return std::nullopt;
+    for (const Json& type : item.data["flavours"]) all["flavours"].push_back(type);
+  }
+  return MachineTypes::parse(all);
+}
 }  // namespace
 
 Node::Node(Env& env, Settings settings)
@@ -87,6 +99,47 @@
   });
 }
 
+// Lists that are too long for one record are kept in several. They are looked for where the cloud is away.
+void Node::load_split_types() {
+  state_.list(Lane::kLease, keys::kSplitTypes,
+              [this](Outcome outcome, const std::vector<StateItem>& items, std::uint64_t) {
+                if (!types_.empty()) return;
+                auto types = outcome == Outcome::kOk ? join_types(items) : std::nullopt;
+                if (types) return take_types(std::move(*types), false);
+                env_.after(env_.uniform(1.0, 2.5), [this] { load_types(); });
+              });
+}
+
+void Node::save_types() {
+  Transaction txn;
+  const auto most_bytes = static_cast<std::size_t>(settings_.value_kb * 1024);
+  if (const Json whole = types_.to_json(); dump_json(whole).size() <= most_bytes) {
+    txn.put(keys::kTypes, whole);
+  } else {
+    constexpr std::size_t kFrame = 40;
+    std::vector<Json> records = {Json::array()};
+    std::size_t bytes = kFrame;
+    for (const Json& type : whole["flavours"]) {
+      const std::size_t needs = dump_json(type).size() + 1;
+      if (bytes + needs > most_bytes && !records.back().empty()) {
+        records.push_back(Json::array());
+        bytes = kFrame;
+      }
+      bytes += needs;
+      records.back().push_back(type);
+    }
+    if (records.size() > static_cast<std::size_t>(settings_.txn_ops)) {
+      spdlog::warn("too many machine types to be recorded: nodes that start ask the cloud");
+      return;
+    }
+    for (std::size_t i = 0; i < records.size(); i++) {
+      txn.put(keys::kSplitTypes + std::to_string(i),
+              {{"flavours", std::move(records[i])}, {"records", records.size()}});
+    }
+  }
+  state_.commit(Lane::kRest, txn, [](const StateReply&) {});
+}
+
 void Node::fetch_types() {
   cloud_.machine_types([this](const CloudReply& reply) {
     if (!types_.empty()) return;
@@ -96,7 +149,7 @@
         return;
       }
     }
-    env_.after(env_.uniform(1.0, 2.5), [this] { load_types(); });
+    load_split_types();
   });
 }
 
@@ -112,11 +165,7 @@
   } else {
     types_ = std::move(types);
   }
-  if (save) {
-    Transaction txn;
-    txn.put(keys::kTypes, types_.to_json());
-    state_.commit(Lane::kRest, txn, [](const StateReply&) {});
-  }
+  if (save) save_types();
   if (first) {
     const auto waiting = std::move(waiting_for_types_);
     waiting_for_types_.clear();
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -39,7 +39,9 @@
 
  private:
   void load_types();
+  void load_split_types();
   void fetch_types();
+  void save_types();
   void take_types(MachineTypes types, bool save);
   void gained(int part, std::uint64_t baton);
   void lost(int part);
--- a/src/coordination/part.hpp
+++ b/src/coordination/part.hpp
@@ -87,6 +87,7 @@
  private:
   void load_heads();
   void load_progress();
+  void load_progress_record(const StateItem& item);
   void load_blocks();
   void check_borrowed(std::set<int> homes);
   void load_teams();
@@ -112,6 +113,8 @@
   void drop_borrowed(const JobPtr& job);
   Json on_called_off(const Json& body);
   [[nodiscard]] static BlockRecord block_record(const Job& job);
+  [[nodiscard]] double block_budget(const Job& job) const;
+  [[nodiscard]] bool fit_block(Job& job) const;
   bool commit_blocks();
   void note_short(const Job& job);
   void lend(const JobPtr& job, int to, std::uint64_t to_baton, int count);
@@ -205,6 +208,11 @@
   void sweep_freed();
   bool commit_pages();
   struct PageCommit;
+  struct PageSplit;
+  [[nodiscard]] PageCommit new_page_commit() const;
+  void send_page_commit(PageCommit commit);
+  bool split_oversized_page();
+  [[nodiscard]] PageSplit plan_split(int number, std::size_t limit) const;
   struct NewBlock {
     JobPtr job;
     std::string key;
@@ -224,10 +232,27 @@
   void pages_written(const PageCommit& commit, std::uint64_t epoch);
   bool pages_refused(const PageCommit& commit, const std::vector<std::string>& failed);
   [[nodiscard]] double page_gap() const;
-  Placement* find_placement(const std::string& machine, std::uint64_t try_no);
+  Placement* find_placement(const std::string& machine, std::uint64_t try_no, int index);
   void folded(const JobPtr& job, const std::string& name, const RangeSet& done);
   [[nodiscard]] std::vector<JobPtr> jobs_to_end() const;
-  bool commit_dones();
+  [[nodiscard]] static std::size_t changes_to_end(const Job& job);
+  void add_ending(Transaction& txn, const Job& job, const char* phase) const;
+  bool commit_endings();
+  void on_ended(const JobPtr& job);
+  [[nodiscard]] bool only_cancelled(const std::vector<std::string>& failed) const;
+  bool remove_blocks_of_cancelled(const JobPtr& job, std::size_t most);
+  // part_progress.cpp
+  struct ProgressWrite {
+    static constexpr int kMain = -1;
+    int part = kMain;
+    RangeSet done;  // of a further record
+  };
+  [[nodiscard]] static RangeSet main_progress(const Job& job);
+  [[nodiscard]] static int longest_part(const Job& job, const RangeSet& main);
+  RangeSet add_progress(Transaction& txn, Job& job, std::vector<ProgressWrite>& writes) const;
+  bool commit_progress();
+  void discard_progress_parts(const Job& job);
+  bool commit_discarded();
   bool commit_rest();
   // `conflict` may settle failed guards on keys of others and return true; otherwise the part is given up.
   using Conflict = std::function<bool(const std::vector<std::string>& failed)>;
@@ -235,6 +260,7 @@
   void send_commit(Lane lane, int slot, const Transaction& txn, std::function<void(std::uint64_t)> done,
                    Conflict conflict = nullptr);
   void try_commit(const std::shared_ptr<Write>& write);
+  bool shrink_writes();
   void on_refused(const std::shared_ptr<Write>& write, const StateReply& reply);
   void find_stamp(const std::shared_ptr<Write>& write, std::size_t at, std::uint64_t epoch);
   void settle(const Write& write, std::uint64_t epoch);
@@ -267,6 +293,12 @@
   TeamLedger teams_;
   std::map<int, Page> pages_;
   std::deque<NewBlock> new_blocks_;  // lent, not written yet
+  struct DiscardedRecord {
+    std::string key;
+    std::string ref;  // of the job that is over
+    std::uint64_t revision = 0;
+  };
+  std::deque<DiscardedRecord> discarded_;  // to be deleted at leisure
   int next_page_ = kNewest;
   double next_pages_at_ = 0;  // no earlier is the journal written again
   bool pages_timer_ = false;  // a timer runs until then
--- a/src/coordination/part_cancel.cpp
+++ b/src/coordination/part_cancel.cpp
@@ -133,8 +133,10 @@
       continue;
     }
     if (txn.then.size() + 1 > most) break;
+    Json record = block_record(*job).to_json();
+    if (static_cast<double>(dump_json(record).size()) > value_bytes_) continue;  // it is only asked for then
     txn.guard(key, job->block_stamp);
-    txn.put(key, block_record(*job).to_json());
+    txn.put(key, std::move(record));
     job->note_written = job->progress_inflight = true;
     noted.push_back(job);
   }
--- a/src/coordination/part_fill.cpp
+++ b/src/coordination/part_fill.cpp
@@ -10,11 +10,10 @@
 
 namespace {
 constexpr double kGuaranteeBonus = 0.5;
-constexpr double kAvoid = 60;          // seconds
-constexpr double kStarving = 45;       // seconds
-constexpr double kAgeFrom = 90;        // seconds since submission; then a unit of preference
-constexpr double kAgeWeight = 45;      // every so many
-constexpr double kBytesPerRange = 12;  // of progress text, at the most
+constexpr double kAvoid = 60;      // seconds
+constexpr double kStarving = 45;   // seconds
+constexpr double kAgeFrom = 90;    // seconds since submission; then a unit of preference
+constexpr double kAgeWeight = 45;  // every so many
 
 // The machine will be taken away: what can save does so now and goes on elsewhere.
 bool saves_before_it_is_killed(const Machine& machine, const Placement& placement) {
@@ -186,7 +185,6 @@
     if (saved != saved_for.end()) continue;
     // Others have room for what can go anywhere; what cannot is still taken.
     if (machine.winding && small_on(*job, machine.type)) continue;
-    if (static_cast<double>(job->done.range_count()) * kBytesPerRange > value_bytes_) continue;
     if (keep_for_large && small_on(*job, machine.type)) continue;
     const bool yields = gives_way(*job);
     if (yields && !open_to_best_effort(*job, machine, room_for_best_effort)) continue;
--- a/src/coordination/part_lending.cpp
+++ b/src/coordination/part_lending.cpp
@@ -21,6 +21,15 @@
 
 double grains(double amount) { return std::floor(amount * kGrain + 1e-9) / kGrain; }
 
+constexpr double kBlockFrame = 120;    // bytes of a block's record without its job and its ranges
+constexpr double kBytesPerRange = 14;  // of text, at the most
+constexpr double kBytesPerTask = 1.4;  // and that much more however scattered some of the tasks are done
+
+// What the ranges of a block's record may come to take, whichever of its tasks are done or given back.
+double block_bytes(const RangeSet& range) {
+  return 2 * (kBytesPerRange * static_cast<double>(range.range_count()) + kBytesPerTask * range.size());
+}
+
 bool take(Resources& room, const Resources& demand) {
   if (!fits(demand, room)) return false;
   for (std::size_t r = 0; r < room.size(); r++) room[r] -= demand[r];
@@ -192,6 +201,27 @@
 
 // ---------------------------------------------------------------- blocks: what the borrower writes
 
+// A block that was lent under larger limits may no longer fit into a record. Once nothing of it runs here, so
+// many of its tasks go home as do not fit, done or not: their results are kept, and starting them again ends
+// at once.
+bool Part::fit_block(Job& job) const {
+  const auto too_large = [this, &job] {
+    return static_cast<double>(dump_json(block_record(job).to_json()).size()) > value_bytes_;
+  };
+  if (!too_large()) return true;
+  if (job.placed > 0) return false;
+  while (job.range.range_count() > 1 && too_large()) {
+    const auto [first, last] = *job.range.ranges().rbegin();
+    RangeSet tail;
+    tail.insert(first, last);
+    job.range.erase(tail);
+    job.done.erase(tail);
+    job.unsaved.erase(tail);
+    job.waiting.erase(tail);
+  }
+  return true;
+}
+
 bool Part::commit_blocks() {
   const double now = ctx_.env->now();
   Transaction txn = guarded();
@@ -212,6 +242,7 @@
     const bool due = (!job->unsaved.empty() && job->complete()) || job->fold_due;
     if (!give_back && !due) continue;
     if (txn.then.size() + 1 > most) break;
+    if (!fit_block(*job)) continue;
     Item item{job, job->range, job->done, false};
     job->fold_due = false;
     if (give_back) {
@@ -448,13 +479,20 @@
   return lent;
 }
 
+// Bytes that the record of a block of the job has for ranges.
+double Part::block_budget(const Job& job) const {
+  return value_bytes_ - kBlockFrame - static_cast<double>(dump_json(job.head.to_json()).size());
+}
+
 // One conditional write a block: it holds while we own the home, the borrower owns its part, and the job is
 // open. It rides in the journal's next write: a copy of that write which comes late finds the newest page
 // changed and fails. (Its own key would not tell: a block that was lent, given back and deleted left no
 // trace, and a late copy brought it back while its tasks ran elsewhere.)
 void Part::lend(const JobPtr& job, int to, std::uint64_t to_baton, int count) {
   Lent lent;
+  const double budget = block_budget(*job);
   for (int i = 0; i < count && !job->waiting.empty(); i++) {
+    if (!lent.range.empty() && block_bytes(lent.range) > budget) break;
     const int index = *job->waiting.first();
     job->waiting.erase(index);
     lent.range.insert(index);
--- a/src/coordination/part_load.cpp
+++ b/src/coordination/part_load.cpp
@@ -41,23 +41,35 @@
   ctx_.state->list(Lane::kLease, keys::progresses(id_),
                    alive([this](Outcome outcome, const std::vector<StateItem>& items, std::uint64_t) {
                      if (outcome != Outcome::kOk) return retry_load(&Part::load_progress);
-                     for (const StateItem& item : items) {
-                       const auto it = jobs_.find(item.key.substr(keys::progresses(id_).size()));
-                       if (it == jobs_.end()) continue;
-                       Job& job = *it->second;
-                       auto done = RangeSet::from_text(item.data.value("done", ""), job.spec().pieces);
-                       if (!done) {
-                         spdlog::error("record {} cannot be read", item.key);
-                         continue;
-                       }
-                       job.progress_stamp = item.stamp;
-                       job.done = std::move(*done);
-                       job.waiting.erase(job.done);
-                     }
+                     for (const StateItem& item : items) load_progress_record(item);
                      load_blocks();
                    }));
 }
 
+void Part::load_progress_record(const StateItem& item) {
+  const std::string name = item.key.substr(keys::progresses(id_).size());
+  const auto tilde = name.find('~');
+  const std::string ref = name.substr(0, tilde);
+  const auto it = jobs_.find(ref);
+  if (it == jobs_.end()) {
+    if (tilde != std::string::npos) discarded_.push_back({item.key, ref, item.stamp});
+    return;
+  }
+  Job& job = *it->second;
+  auto done = RangeSet::from_text(item.data.value("done", ""), job.spec().pieces);
+  if (!done) {
+    spdlog::error("record {} cannot be read", item.key);
+    return;
+  }
+  job.done.insert(*done);
+  job.waiting.erase(*done);
+  if (tilde == std::string::npos) {
+    job.progress_stamp = item.stamp;
+  } else {
+    job.progress_parts[std::atoi(name.c_str() + tilde + 1)] = {item.stamp, std::move(*done)};
+  }
+}
+
 void Part::load_pages() {
   ctx_.state->list(Lane::kLease, keys::pages(id_),
                    alive([this](Outcome outcome, std::vector<StateItem> items, std::uint64_t) {
@@ -72,7 +84,9 @@
                          spdlog::error("record {} cannot be read", item.key);
                          return;
                        }
-                       pages_[number].stamp = item.stamp;
+                       Page& page = pages_[number];
+                       page.stamp = item.stamp;
+                       page.oversized = dump_json(item.data).size() > value_bytes_;
                        read.emplace_back(number, std::move(*record));
                      }
                      // Completions first: what is done is placed nowhere, whatever a page still says.
--- /dev/null
+++ b/src/coordination/part_progress.cpp
@@ -0,0 +1,166 @@
+// Completions of jobs that are not over: folded from the journal's pages into records of their own when they
+// have grown long there, together with the blocks that others have completed.
+//
+// Record d/P/REF holds them as one text of ranges. Where that would be larger than the state service takes,
+// those of some hundreds of tasks each go to further records d/P/REF~N. What any of the records says is done
+// is done, so they need not be of one moment, and go in any order once the job has ended.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "coordination/part.hpp"
+
+namespace mothslip {
+
+namespace {
+constexpr std::size_t kMergeBlocks = 3;  // completed blocks worth a transaction of their own
+constexpr double kProgressFill = 0.85;   // of the value size
+// Tasks that a further record covers: however scattered, their text takes less than 1 KiB.
+constexpr int kTasksPerPart = 512;
+}  // namespace
+
+// What of the job's completions the main record has to hold.
+RangeSet Part::main_progress(const Job& job) {
+  RangeSet out = job.done;
+  for (const auto& [number, part] : job.progress_parts) out.erase(part.done);
+  return out;
+}
+
+// The hundreds of tasks whose completions take most of the main record.
+int Part::longest_part(const Job& job, const RangeSet& main) {
+  int longest = 0;
+  std::size_t most = 0;
+  const int count = (job.spec().pieces + kTasksPerPart - 1) / kTasksPerPart;
+  for (int number = 0; number < count; number++) {
+    const std::size_t ranges = main.slice(number * kTasksPerPart, (number + 1) * kTasksPerPart).range_count();
+    if (ranges <= most) continue;
+    most = ranges;
+    longest = number;
+  }
+  return longest;
+}
+
+// Puts what is done of the job into its records, or a first part of it, and returns what they hold then.
+RangeSet Part::add_progress(Transaction& txn, Job& job, std::vector<ProgressWrite>& writes) const {
+  const std::string& ref = job.spec().ref;
+  // (The head, too: it ends with the job, so that no late copy of this leaves a record behind.)
+  txn.guard(keys::head(id_, ref), job.head_stamp);
+  const RangeSet main = main_progress(job);
+  job.fold_due = false;
+  if (static_cast<double>(main.text_bytes()) <= kProgressFill * value_bytes_) {
+    txn.guard(keys::progress(id_, ref), job.progress_stamp);
+    txn.put(keys::progress(id_, ref), {{"done", main.to_text()}});
+    writes.push_back({ProgressWrite::kMain, {}});
+    return job.done;
+  }
+  const int number = longest_part(job, main);
+  const RangeSet slice = job.done.slice(number * kTasksPerPart, (number + 1) * kTasksPerPart);
+  const auto known = job.progress_parts.find(number);
+  txn.guard(keys::progress_part(id_, ref, number),
+            known == job.progress_parts.end() ? 0 : known->second.revision);
+  txn.put(keys::progress_part(id_, ref, number), {{"done", slice.to_text()}});
+  writes.push_back({number, slice});
+  job.fold_due = true;  // the rest follows
+  return slice;
+}
+
+bool Part::commit_progress() {
+  Transaction txn = guarded();
+  struct Item {
+    JobPtr job;
+    RangeSet saved;
+    std::vector<ProgressWrite> writes;
+    std::vector<std::string> merged;  // blocks
+  };
+  std::vector<Item> items;
+  const auto most = static_cast<std::size_t>(ctx_.state->writes_per_txn());
+  for (auto& [ref, job] : jobs_) {
+    if (job->borrowed() || job->finishing || job->cancelling || job->progress_inflight || job->head.aborted)
+      continue;
+    std::size_t complete = 0;
+    for (const auto& [key, lent] : job->lent) complete += lent.complete() ? 1 : 0;
+    // A completed job comes here only when it has too many blocks to end in one go.
+    const bool too_many = job->complete() && changes_to_end(*job) > most;
+    const bool due = job->fold_due && !job->complete();
+    if (!due && !too_many && (job->complete() || complete < kMergeBlocks)) continue;
+    if (txn.then.size() + 1 + (complete > 0 ? 1 : 0) > most) break;
+    Item item;
+    item.job = job;
+    item.saved = add_progress(txn, *job, item.writes);
+    for (const auto& [key, lent] : job->lent) {
+      RangeSet missing = lent.done;
+      missing.erase(item.saved);
+      if (!lent.complete() || !missing.empty() || txn.then.size() + 1 > most) continue;
+      txn.guard(key, lent.stamp);
+      txn.remove(key);
+      item.merged.push_back(key);
+    }
+    job->progress_inflight = true;
+    items.push_back(std::move(item));
+  }
+  if (items.empty()) return false;
+  const auto done = [this, items](std::uint64_t epoch) {
+    for (const Item& item : items) {
+      Job& job = *item.job;
+      job.progress_inflight = false;
+      for (const std::string& key : item.merged) job.lent.erase(key);
+      for (const ProgressWrite& write : item.writes) {
+        if (write.part == ProgressWrite::kMain) {
+          job.progress_stamp = epoch;
+        } else {
+          job.progress_parts[write.part] = {epoch, write.done};
+        }
+      }
+      folded(item.job, job.spec().ref, item.saved);
+    }
+  };
+  // A cancellation came in between: what belongs to other jobs is tried again.
+  const auto conflict = [this, items](const std::vector<std::string>& failed) {
+    if (!only_cancelled(failed)) return false;
+    for (const Item& item : items) {
+      item.job->progress_inflight = false;
+      item.job->fold_due = true;
+    }
+    return true;
+  };
+  send_commit(Lane::kDone, kDoneSlot, txn, done, conflict);
+  return true;
+}
+
+// The job's own record holds these now.
+void Part::folded(const JobPtr& job, const std::string& name, const RangeSet& done) {
+  job->saved(done);
+  for (auto& [number, page] : pages_) {
+    const auto it = page.done.find(name);
+    if (it == page.done.end()) continue;
+    it->second.erase(done);
+    if (it->second.empty()) page.done.erase(it);
+  }
+}
+
+// The job is over; its further records of progress go when there is nothing better to do.
+void Part::discard_progress_parts(const Job& job) {
+  if (job.borrowed()) return;
+  for (const auto& [number, part] : job.progress_parts)
+    discarded_.push_back({keys::progress_part(id_, job.spec().ref, number), job.spec().ref, part.revision});
+}
+
+bool Part::commit_discarded() {
+  if (discarded_.empty()) return false;
+  Transaction txn = guarded();
+  const auto most = static_cast<std::size_t>(ctx_.state->writes_per_txn());
+  while (!discarded_.empty() && txn.then.size() < most) {
+    const DiscardedRecord record = std::move(discarded_.front());
+    discarded_.pop_front();
+    txn.guard(record.key, record.revision);
+    txn.guard(keys::head(id_, record.ref), 0);
+    txn.remove(record.key);
+  }
+  // (They are of no use to anyone: where something is not as it was expected they are left alone.)
+  send_commit(
+      Lane::kRest, kRestSlot, txn, [](std::uint64_t) {},
+      [](const std::vector<std::string>&) { return true; });
+  return true;
+}
+
+}  // namespace mothslip
--- a/src/coordination/state_client.cpp
+++ b/src/coordination/state_client.cpp
@@ -11,6 +11,8 @@
 constexpr double kCallSeconds = 1.5;
 constexpr double kOvercommit = 1.6;
 constexpr double kLeaseAgain = 0.1;
+constexpr double kRaiseEvery = 1.0;
+constexpr int kLeastTransaction = 4;  // changes
 
 Outcome outcome_of(int status) {
   switch (status) {
@@ -44,8 +46,9 @@
 StateClient::StateClient(Env& env, const Settings& settings)
     : env_(env),
       address_(settings.state),
-      rps_(settings.state_rps),
-      write_rps_(settings.state_write_rps),
+      call_rate_(settings.state_rps, settings.next_state_rps, env.now()),
+      write_rate_(settings.state_write_rps, settings.next_write_rps, env.now()),
+      next_raise_(env.now() + kRaiseEvery),
       txn_ops_(settings.txn_ops),
       writes_per_txn_(settings.txn_ops),
       calls_(settings.state_rps / 3, settings.state_rps / 3, env.now()),
@@ -57,13 +60,34 @@
 }
 
 void StateClient::set_share(double share) {
+  share_ = share;
+  apply_share();
+}
+
+void StateClient::apply_share() {
   const double now = env_.now();
-  calls_.set_rate(rps_ * share, std::max(2.0, rps_ * share), now);
+  const double calls = call_rate_.current() * share_;
+  calls_.set_rate(calls, std::max(2.0, calls), now);
   // Nodes are seldom busy at once: each may change more than its share, and gives way when the service says
   // 429. Leases are not touched by that, they only count as calls.
-  const double most = kOvercommit * write_rps_ * share;
+  const double writes = write_rate_.current() * share_;
+  const double most = kOvercommit * writes;
   writes_.set_rate(most, std::max(3.0, most), now);
-  writes_per_txn_ = std::clamp(static_cast<int>(write_rps_ * share), 4, txn_ops_);
+  writes_per_txn_ = std::clamp(static_cast<int>(writes), kLeastTransaction, txn_ops_);
+}
+
+void StateClient::shrink_transactions() {
+  txn_ops_ = std::max(kLeastTransaction, txn_ops_ / 2);
+  apply_share();
+}
+
+// The service's limits fall without notice: being turned down is the only sign of it. What was saved up for a
+// burst is gone, and the rate is cut, though not below what the service has announced.
+void StateClient::too_many(bool write) {
+  const double now = env_.now();
+  counters_.too_many++;
+  (write ? writes_ : calls_).drain(now);
+  if ((write ? write_rate_ : call_rate_).turned_down(now)) apply_share();
 }
 
 void StateClient::submit(Lane lane, HttpCall call, int writes, StateHandler handler) {
@@ -92,6 +116,12 @@
 
 void StateClient::pump() {
   const double now = env_.now();
+  if (now >= next_raise_) {
+    next_raise_ = now + kRaiseEvery;
+    const bool calls_raised = call_rate_.raise(now);
+    const bool writes_raised = write_rate_.raise(now);
+    if (calls_raised || writes_raised) apply_share();
+  }
   double wait = -1;
   for (std::size_t lane = 0; lane < lanes_.size(); lane++) {
     auto& queue = lanes_[lane];
@@ -141,8 +171,7 @@
   env_.call(kept->call, [this, lane, kept](const HttpReply& reply) {
     if (!reply.unanswered() && reply.status != 503) last_word_ = env_.now();
     if (reply.status == 429) {
-      counters_.too_many++;
-      (kept->writes > 0 ? writes_ : calls_).drain(env_.now());
+      too_many(kept->writes > 0);
       // Not executed: it waits for the next tokens like the rest of its lane.
       if (env_.now() < kept->give_up) {
         lanes_[static_cast<std::size_t>(lane)].push_front(std::move(*kept));
--- a/src/coordination/state_client.hpp
+++ b/src/coordination/state_client.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "protocol/messages.hpp"
+#include "transport/adaptive_rate.hpp"
 #include "transport/env.hpp"
 #include "transport/token_bucket.hpp"
 
@@ -81,6 +82,11 @@
   // before that start is not known, so a new process has been without it only since then.
   [[nodiscard]] double silent_s() const { return env_.now() - last_word_; }
   [[nodiscard]] int writes_per_txn() const { return writes_per_txn_; }
+  // Changes a second that the service is taken to serve, for all nodes together: the present limit, or less
+  // once it has turned calls down, but no less than the limit that it has announced.
+  [[nodiscard]] double write_rate() const { return write_rate_.current(); }
+  // The service took a transaction for too large.
+  void shrink_transactions();
   // How much of the changes that may be made at once is left, 0..1.
   [[nodiscard]] double writes_left() { return writes_.level(env_.now()); }
   // True when a call in this lane would have to wait longer than `patience_s`.
@@ -99,6 +105,8 @@
     StateHandler handler;
   };
   struct ListWork;
+  void apply_share();
+  void too_many(bool write);
   void submit(Lane lane, HttpCall call, int writes, StateHandler handler);
   void pump();
   void send(Lane lane, Pending pending);
@@ -106,8 +114,10 @@
 
   Env& env_;
   std::string address_;
-  double rps_;
-  double write_rps_;
+  AdaptiveRate call_rate_;
+  AdaptiveRate write_rate_;
+  double share_ = 1.0 / 3;  // of the service's limits
+  double next_raise_;
   int txn_ops_;
   int writes_per_txn_;
   TokenBucket calls_;
--- a/src/coordination/user_api.cpp
+++ b/src/coordination/user_api.cpp
@@ -11,6 +11,7 @@
 namespace {
 constexpr double kForwardSeconds = 0.8;
 constexpr double kCancelForwardSeconds = 2.5;
+constexpr double kHeadFill = 0.9;  // of the value size: a cancellation adds to the record
 constexpr double kAcceptPatience = 0.8;
 // Users wait this long for the state of a job. What is learned later is of no use to them.
 constexpr double kPollSeconds = 2.0;
@@ -127,6 +128,9 @@
   HeadRecord head;
   head.spec = spec;
   head.submitted = ctx_.env->wall();
+  // A long list of machine types, most of them unknown here, must not keep the job from being recorded.
+  if (dump_json(head.to_json()).size() > kHeadFill * ctx_.settings->value_kb * 1024)
+    keep_known_flavours(head.spec, *ctx_.types);
   Transaction txn;
   txn.guard(keys::head(part, ref), 0);
   txn.guard(keys::ending(part, ref), 0);
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -237,6 +237,13 @@
   return -1;
 }
 
+void keep_known_flavours(JobSpec& spec, const MachineTypes& types) {
+  if (!spec.flavours) return;
+  std::erase_if(*spec.flavours, [&types](const std::string& name) { return types.find(name) < 0; });
+  std::sort(spec.flavours->begin(), spec.flavours->end());
+  spec.flavours->erase(std::unique(spec.flavours->begin(), spec.flavours->end()), spec.flavours->end());
+}
+
 std::string never_runs(const JobSpec& spec, const Settings& settings, const MachineTypes& types) {
   const int team = settings.team_index(spec.owner);
   if (team < 0) return "unknown team";
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -79,6 +79,9 @@
   std::vector<MachineType> types_;
 };
 
+// Drops the allowed machine types that do not exist.
+void keep_known_flavours(JobSpec& spec, const MachineTypes& types);
+
 // Empty when the job can run some day; else why it never can.
 std::string never_runs(const JobSpec& spec, const Settings& settings, const MachineTypes& types);
 
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -2,6 +2,7 @@
 
 #include <INIReader.h>
 
+#include <algorithm>
 #include <cmath>
 #include <fstream>
 #include <map>
@@ -101,6 +102,19 @@
   return out.str();
 }
 
+void read_state_limits(const Reader& state, Settings& out) {
+  out.state_rps = out.next_state_rps = state.number("rps", 1);
+  out.state_write_rps = out.next_write_rps = state.number("write_rps", 1);
+  out.value_kb = state.number("value_kb", 1);
+  out.txn_ops = static_cast<int>(state.number("txn_ops", 4));
+  if (!state.has("next")) return;
+  const Reader next = state.sub("next");
+  out.next_state_rps = std::min(out.state_rps, next.number_or("rps", 1, out.state_rps));
+  out.next_write_rps = std::min(out.state_write_rps, next.number_or("write_rps", 1, out.state_write_rps));
+  out.value_kb = std::min(out.value_kb, next.number_or("value_kb", 1, out.value_kb));
+  out.txn_ops = std::min(out.txn_ops, static_cast<int>(next.number_or("txn_ops", 4, out.txn_ops)));
+}
+
 }  // namespace
 
 int Settings::team_index(const std::string& name) const {
@@ -154,11 +168,9 @@
   out.report_s = workers.number("report_s", 0.01);
   out.lease_s = workers.number("lease_s", 0.1);
   out.cancel_s = workers.number("cancel_s", 0.1);
-  const Reader state = settings.sub("state");
-  out.state_rps = state.number("rps", 1);
-  out.state_write_rps = state.number("write_rps", 1);
-  out.value_kb = state.number("value_kb", 1);
-  out.txn_ops = static_cast<int>(state.number("txn_ops", 4));
+  out.gang_wait_s = workers.number_or("gang_wait_s", 0.1, out.gang_wait_s);
+  out.gang_peer_s = workers.number_or("gang_peer_s", 0.1, out.gang_peer_s);
+  read_state_limits(settings.sub("state"), out);
   const Reader cloud = settings.sub("cloud");
   out.cloud_rps = cloud.number("rps", 0.1);
   out.list_lag_s = cloud.number("list_lag_s", 0);
--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -59,8 +59,15 @@
   double report_s = 2;
   double lease_s = 15;
   double cancel_s = 40;
+  double gang_wait_s = 30;  // a gang task waits this long for the others of its attempt
+  double gang_peer_s = 4;   // within this time the others notice that one is gone, or is being stopped
   double state_rps = 50;
   double state_write_rps = 15;
+  // What the rates may fall to at any moment, without notice; the same as above where nothing is announced.
+  double next_state_rps = 50;
+  double next_write_rps = 15;
+  // Sizes are bounded by the smaller of the present and the announced limit, from the start: what is written
+  // must stay writable.
   double value_kb = 8;
   int txn_ops = 12;
   double cloud_rps = 2;
--- /dev/null
+++ b/tests/limits_test.cpp
@@ -0,0 +1,201 @@
+// The limits of the state service: those announced in `state.next` bound what is written from the start, what
+// was written under larger ones is read and taken apart, and a rate that falls is followed.
+#include <gtest/gtest.h>
+
+#include "bookkeeping/records.hpp"
+#include "sim/checks.hpp"
+#include "sim/days.hpp"
+#include "sim/world.hpp"
+#include "transport/adaptive_rate.hpp"
+
+using namespace mothslip;
+using namespace mothslip::sim;
+
+namespace {
+
+constexpr double kSmallValues = 2;  // KiB
+constexpr int kSmallTransactions = 4;
+
+class Limits : public ::testing::TestWithParam<int> {
+ protected:
+  void SetUp() override { set_up_log(); }
+  // Room for hundreds of small tasks, so that records grow large.
+  static Options options() {
+    Options out;
+    out.seed = static_cast<std::uint64_t>(GetParam());
+    out.loss = 0.002;
+    out.market = 8;
+    out.team_cpus = 150;
+    out.team_max = 600;
+    out.next_value_kb = kSmallValues;
+    out.next_txn_ops = kSmallTransactions;
+    out.next_write_rps = 20;
+    out.rate_limits = true;
+    return out;
+  }
+  static void add_many_tasks(World& world, double at, double run_s) {
+    for (int i = 0; i < 10; i++) world.submit(plain_job(world, i, at + 2 * i, 60, run_s, 1));
+  }
+  static void lower(World& world) {
+    world.state.lower_limits(kSmallValues, kSmallTransactions, world.options.next_write_rps);
+  }
+};
+
+std::size_t largest_page(const World& world) {
+  std::size_t most = 0;
+  for (const auto& [key, value] : world.state.values()) {
+    if (key.rfind("h/", 0) == 0) most = std::max(most, value.dump().size());
+  }
+  return most;
+}
+
+void put(World& world, const std::string& key, Json data) {
+  Transaction txn;
+  txn.put(key, std::move(data));
+  world.state.handle("POST", "/commit", txn.body(), [](int status, const Json&) { EXPECT_EQ(status, 200); });
+}
+
+}  // namespace
+
+TEST(AdaptiveRate, FollowsRefusalsDownToTheAnnouncedRate) {
+  AdaptiveRate rate(30, 21, 0);
+  EXPECT_TRUE(rate.turned_down(5));
+  EXPECT_FALSE(rate.turned_down(5.2));  // the same burst
+  EXPECT_DOUBLE_EQ(rate.current(), 21);
+  EXPECT_FALSE(rate.raise(10));  // too early to try again
+  EXPECT_DOUBLE_EQ(rate.current(), 21);
+  for (double now = 16; now < 60; now += 1) rate.raise(now);
+  EXPECT_DOUBLE_EQ(rate.current(), 30);
+}
+
+TEST(AdaptiveRate, StaysWhereNothingIsAnnounced) {
+  AdaptiveRate rate(30, 30, 0);
+  EXPECT_FALSE(rate.turned_down(5));
+  EXPECT_DOUBLE_EQ(rate.current(), 30);
+}
+
+// The smaller limits hold from the start, and take effect in the middle of a takeover.
+TEST_P(Limits, FallWhileAnOwnerIsReplaced) {
+  World world(options());
+  add_many_tasks(world, 5, 40);
+  world.at(60, [&world] { world.crash_node(1, 8); });
+  world.at(61, [] {});
+  world.at(62, [&world] { lower(world); });
+  world.troubles_end = 75;
+  world.run_until(330);
+  expect_kept(world);
+  EXPECT_EQ(world.state.too_large, 0);
+}
+
+// What the version before wrote is larger than what may be written later. It stays readable, and nothing in
+// it is lost while it is taken apart.
+TEST_P(Limits, PagesOfTheVersionBeforeAreTakenApart) {
+  Options day = options();
+  day.earlier_version = true;
+  World world(day);
+  add_many_tasks(world, 2, 70);
+  std::size_t before = 0;
+  world.at(60, [&] { before = largest_page(world); });
+  for (int i = 0; i < 3; i++) world.at(60 + 8 * i, [&world, i] { world.upgrade_node(i, 2); });
+  world.at(95, [&world] { lower(world); });
+  world.at(100, [&world] { world.crash_node(0, 0.3); });
+  world.troubles_end = 110;
+  world.run_until(420);
+  expect_kept(world);
+  EXPECT_GT(before, static_cast<std::size_t>(1024 * kSmallValues));
+  EXPECT_EQ(world.state.too_large, 0);
+  for (const auto& [ref, job] : world.jobs) EXPECT_TRUE(job.told_done) << ref;
+}
+
+// Processes of both versions end and come back while the pages change hands, and back.
+TEST_P(Limits, PagesGoToAndFroBetweenTheVersions) {
+  Options day = options();
+  day.earlier_version = true;
+  World world(day);
+  add_many_tasks(world, 2, 60);
+  world.at(40, [&world] { world.upgrade_node(0, 1); });
+  world.at(58, [&world] { world.crash_node(0, 9); });  // its part goes to an old one, and comes back
+  world.at(60, [&world] { world.crash_node(1, 0.3); });
+  world.at(95, [&world] { world.upgrade_node(1, 1); });
+  world.at(96, [&world] { world.crash_node(2, 5); });  // comes back old
+  world.at(110, [&world] { world.upgrade_node(2, 1); });
+  world.troubles_end = 125;
+  world.run_until(420);
+  expect_kept(world);
+  EXPECT_EQ(world.state.too_large, 0);
+}
+
+// Nothing was announced, and the service takes less all the same: writes are made smaller, and no part is
+// given up over and over.
+TEST_P(Limits, FallWithoutAnyAnnouncement) {
+  Options day = options();
+  day.next_value_kb = 0;
+  day.next_txn_ops = 0;
+  day.next_write_rps = 0;
+  World world(day);
+  world.state.may_be_too_large = true;
+  add_many_tasks(world, 2, 60);
+  world.at(50, [&world] { world.state.lower_limits(kSmallValues, kSmallTransactions, 20); });
+  world.troubles_end = 60;
+  world.run_until(420);
+  expect_kept(world);
+  EXPECT_GT(world.state.too_large, 0);
+  EXPECT_LT(world.state.too_large, 40);
+}
+
+// A hundred thousand tasks of which every other one is done: the completions fit no record of this size.
+TEST(LimitsOfRecords, ScatteredCompletionsOfAHugeJobAreKept) {
+  set_up_log();
+  Options day;
+  day.loss = 0;
+  day.nodes = 1;
+  day.page = 500;
+  day.next_value_kb = kSmallValues;
+  day.next_txn_ops = kSmallTransactions;
+  World world(day);
+  UserJob job = plain_job(world, 1, 8, 100000, 30, 4);
+  const std::string ref = job.ref;
+  RangeSet done;
+  world.at(6, [&] {
+    HeadRecord head;
+    std::string why;
+    head.spec = *parse_job(parse_json(dump_json(job.body)), why);
+    head.submitted = 1.7e9;
+    put(world, keys::head(0, ref), head.to_json());
+    for (int part = 0; part * 512 < 100000; part++) {
+      RangeSet scattered;
+      for (int i = part * 512; i < std::min(100000, (part + 1) * 512); i += 2) scattered.insert(i);
+      done.insert(scattered);
+      put(world, keys::progress_part(0, ref, part), {{"done", scattered.to_text()}});
+    }
+    for (int i = 0; i < 100000; i += 2) job.completed.insert(i);
+    world.submit(job);
+    world.crash_node(0, 0.3);
+  });
+  world.run_until(150);
+  EXPECT_TRUE(world.violations.empty()) << world.summary();
+  const auto& starts = world.jobs.at(ref).starts;
+  EXPECT_GT(starts.size(), 20u);
+  for (const auto& [index, count] : starts) EXPECT_EQ(index % 2, 1) << "done already, and started again";
+  // What completed since is durable too, although no single record holds it all.
+  RangeSet kept;
+  for (const auto& [key, value] : world.state.values()) {
+    EXPECT_LE(value.dump().size(), 1024 * kSmallValues) << key;
+    if (key.rfind("d/0/", 0) == 0) kept.insert(*RangeSet::from_text(value["done"], 100000));
+    if (key.rfind("h/0/", 0) == 0 && value.contains("d") && value["d"].contains(ref))
+      kept.insert(*RangeSet::from_text(value["d"][ref], 100000));
+  }
+  EXPECT_GT(kept.size(), done.size());
+}
+
+// A list of machine types and a job's list of allowed types that fit no record.
+TEST(LimitsOfRecords, LongListsOfMachineTypes) {
+  JobSpec spec;
+  MachineTypes types =
+      *MachineTypes::parse(parse_json(R"({"flavours":[{"name":"c4","cores":4,"memory_gb":16}]})"));
+  spec.flavours = std::vector<std::string>{"none", "c4", "neither", "c4"};
+  keep_known_flavours(spec, types);
+  EXPECT_EQ(*spec.flavours, std::vector<std::string>{"c4"});
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Limits, ::testing::Range(1, 1 + seeds()));
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -56,8 +56,12 @@
   void handle(const std::string& method, const std::string& target, const std::string& body,
               const Reply& reply);
   void set_outage(bool out);
-  double slow_s = 0;  // every answer takes so much longer
-  int too_many = 0;   // calls answered 429
+  double slow_s = 0;              // every answer takes so much longer
+  int too_many = 0;               // calls answered 429
+  int too_large = 0;              // transactions answered 400 for their size or that of a value
+  bool may_be_too_large = false;  // without this such a transaction breaks a rule of the simulated cluster
+  // From now on; what is stored stays.
+  void lower_limits(double value_kb, int txn_ops, double write_rps);
   int changes_made = 0;
   void spoil(const std::string& key) { values_[key] = "spoiled"; }  // as if written by something else
   void write_again(const std::string& key);  // the same value under a new revision, by something else
@@ -98,8 +102,11 @@
   std::uint64_t epoch_ = 1;
   std::uint64_t next_lease_ = 1;
   bool outage_ = false;
+  [[nodiscard]] bool over_size(const Json& changes, std::size_t conditions) const;
   TokenBucket calls_;
   TokenBucket writes_;
+  double value_kb_;
+  std::size_t txn_ops_;
 };
 
 struct UserJob;
@@ -236,6 +243,12 @@
   double state_rps = 100;
   double write_rps = 30;
   int txn_ops = 24;
+  double value_kb = 8;
+  // Announced limits (`state.next`); 0: none are.
+  double next_value_kb = 0;
+  int next_txn_ops = 0;
+  double next_write_rps = 0;
+  bool earlier_version = false;  // all nodes begin as the version before: World::upgrade_node
   double cloud_rps = 2;
   std::size_t page = 7;      // items a page of the state service: small, so that paging is always used
   bool rate_limits = false;  // the state service and the cloud answer 429
@@ -253,6 +266,8 @@
 
   void start_node(int index);
   void crash_node(int index, double back_after);
+  // The process is killed and comes back with the present version.
+  void upgrade_node(int index, double back_after);
   // The state service refuses the node (nobody else), and with `peers` no other node reaches it.
   void cut_node(int index, bool peers);
   // No machine reaches the node, nor it any of them; everybody else does.
@@ -326,6 +341,7 @@
     std::unique_ptr<NodeEnv> env;
     std::unique_ptr<Node> node;
     bool frozen = false;
+    bool earlier_version = false;
     std::vector<std::function<void()>> held;  // what happened meanwhile, in order
   };
   std::vector<Process> nodes;
