--- a/src/bookkeeping/ledger.hpp
+++ b/src/bookkeeping/ledger.hpp
@@ -29,6 +29,21 @@
 // How long a task that is stopped, but not cancelled, has to save what it has done.
 inline double stop_grace_s(const JobSpec& spec) { return spec.saves() ? spec.snapshot_cost_s + 1 : 0; }
 
+// The attempt of a gang of which tasks are placed. (Its tasks share one attempt number.)
+struct GangAttempt {
+  std::uint64_t number = 0;  // 0: nothing is placed
+  bool started = false;      // its tasks were seen running
+  // A task of it is gone, or it did not start in time: nothing of it is launched any more, and all of it is
+  // stopped. The next attempt begins once the last task is known to be gone.
+  bool failed = false;
+  bool stopping = false;     // to be stopped with its progress saved
+  double stopping_since = 0;
+  bool stop_recorded = false;  // that is durable: its tasks may be told
+  double placed_at = 0;
+  double launched_at = 0;     // when all its places were durable for the first time; 0: they are not
+  bool failure_told = false;  // its tasks were told to stop
+};
+
 // A job at its home part, or a block of one that this part has borrowed.
 struct Job {
   HeadRecord head;
@@ -58,6 +73,12 @@
   std::map<int, ProgressPart> progress_parts;
   bool progress_inflight = false;
 
+  GangAttempt attempt;        // of a gang
+  double next_gang_look = 0;  // places for it are not looked for before
+  double reserved_since = 0;  // machines are kept for it since; 0: none are
+  double next_reservation = 0;
+  bool lent_runs = false;     // a gang that is lent: the borrower says that it runs
+  double lent_heard = 0;      // when it said so
   int placed = 0;
   std::map<int, int> stops;  // by task: how often it was stopped for other work
   std::map<int, int> placed_by_hall;
@@ -99,7 +120,20 @@
   // say so: its tasks are stopped from the moment the write is sent.)
   [[nodiscard]] bool called_off() const { return head.aborted || cancelling; }
   // Its tasks may not be placed without regard to each other.
-  [[nodiscard]] bool bound() const { return head.spec.together || head.spec.scatter; }
+  [[nodiscard]] bool bound() const { return head.spec.gang || head.spec.together || head.spec.scatter; }
+  [[nodiscard]] bool is_gang() const { return head.spec.gang; }
+  // What has to be free at once for anything of it to start: of a gang all that waits, else one task.
+  [[nodiscard]] Resources start_demand() const {
+    Resources out = demand;
+    if (is_gang()) {
+      for (double& amount : out) amount *= waiting.size();
+    }
+    return out;
+  }
+  // All its tasks run, as far as is known here.
+  [[nodiscard]] bool gang_runs() const {
+    return attempt.started && !attempt.failed && placed == head.spec.pieces;
+  }
   [[nodiscard]] bool borrowed() const { return !block.empty(); }
   [[nodiscard]] bool complete() const {
     return done.size() >= (borrowed() ? range.size() : head.spec.pieces);
@@ -143,7 +177,8 @@
   PiecePhase phase = PiecePhase::kPulling;
   double running_since = 0;
   double requeue_delay = 0;
-  bool preempted = false;  // being stopped for other work
+  bool preempted = false;      // being stopped for other work
+  bool stop_recorded = false;  // of a gang that is being stopped: its record says so
 };
 
 // A page of the part's journal (records.hpp).
@@ -196,6 +231,7 @@
   double wanted_at = 0;        // last time that work other than best-effort wanted it, or was given it
   double held_back_since = 0;  // its room is kept from best-effort work since, for other parts; 0: is not
   bool held = false;           // nothing is placed there: its report waits for work
+  JobPtr reserved_for;         // a gang that waits for its room
   bool direct_inflight = false;
   bool stops_due = false;  // a job was called off while a direct command was under way
   double raise_tried = 0;  // last time a direct command showed it our token
--- a/src/bookkeeping/records.cpp
+++ b/src/bookkeeping/records.cpp
@@ -31,7 +31,10 @@
   }
   Json jobs = Json::object();
   for (auto& [ref, list] : by_job) jobs[ref] = std::move(list);
-  return {{"a", address}, {"f", flavour}, {"z", hall}, {"s", loaner}, {"t", tenure}, {"p", std::move(jobs)}};
+  Json out = {{"a", address}, {"f", flavour}, {"z", hall},
+              {"s", loaner},  {"t", tenure},  {"p", std::move(jobs)}};
+  if (!stopping.empty()) out["x"] = stopping;
+  return out;
 }
 
 std::optional<HostRecord> HostRecord::from_json(const Json& value) {
@@ -48,6 +51,7 @@
         out.placements.push_back({ref, list[i].get<int>(), list[i + 1].get<std::uint64_t>()});
       }
     }
+    if (value.contains("x")) out.stopping = value["x"].get<std::vector<std::uint64_t>>();
   } catch (const Json::exception&) {
     return std::nullopt;
   }
--- a/src/bookkeeping/records.hpp
+++ b/src/bookkeeping/records.hpp
@@ -3,6 +3,7 @@
 //   meta                     {"parts":N,"form":F}, written once
 //   types                    the machine types last heard from the cloud; types~N: in several records, where
 //                            they are too many for one
+//   gangs                    there once a gang has been accepted
 //   parts/P                  owner of part P, under its lease; the put's revision is the part's baton
 //   w/j/P/REF                head of an open job: its description; changes only on cancel, gone at the end.
 //                            (Cancelled and `spread`: whether its borrowers know, only its owner can tell.)
@@ -36,6 +37,7 @@
 inline const std::string kMeta = "meta";
 inline const std::string kTypes = "types";
 inline const std::string kSplitTypes = "types~";
+inline const std::string kGangs = "gangs";
 inline const std::string kParts = "parts/";
 inline const std::string kRentals = "rentals/";
 inline const std::string kWatched = "w/";
@@ -86,6 +88,7 @@
   bool loaner = false;
   std::uint64_t tenure = 0;
   std::vector<PlacementRecord> placements;
+  std::vector<std::uint64_t> stopping;  // attempts of gangs that are being stopped
 
   // Placements are grouped by job: a machine full of small tasks must stay within the value size.
   [[nodiscard]] Json to_json() const;
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -30,6 +30,7 @@
 constexpr double kBestEffortStart = 120.0;       // machines are rented for best-effort work that waits longer
 constexpr std::size_t kRentalFrame = 40;         // bytes of a rental's record without its requests
 constexpr std::size_t kRentalRequestFrame = 60;  // and of a request without its names
+constexpr double kLeastOrdinary = 0.5;      // cores: less than that is no work at all
 constexpr double kAskedFor = 10.0;               // a rental without an answer is counted on this long
 }  // namespace
 
@@ -99,6 +100,7 @@
     double squares = 0;
     for (const auto& [part, told] : summaries_) squares += told.summary.squares;
     follow(squares_, squares);
+    follow_ordinary_use(follow);
     judge();
     send_returns();
     plan();
@@ -118,6 +120,30 @@
   ctx_.env->after(kStep, alive([this] { step(); }));
 }
 
+void Fleet::follow_ordinary_use(const std::function<void(double&, double)>& follow) {
+  OrdinaryUse now;
+  for (const auto& [part, told] : summaries_) {
+    const OrdinaryUse& use = told.summary.ordinary;
+    now.cores += use.cores;
+    now.squares += use.squares;
+    for (std::size_t r = 0; r < now.largest.size(); r++)
+      now.largest[r] = std::max(now.largest[r], use.largest[r]);
+  }
+  follow(ordinary_.cores, now.cores);
+  follow(ordinary_.squares, now.squares);
+  for (std::size_t r = 0; r < now.largest.size(); r++) {
+    // (What has to be free at once is remembered for a while.)
+    const double kept = ordinary_.cores < kLeastOrdinary ? 0 : ordinary_.largest[r];
+    ordinary_.largest[r] = std::max(kept, now.largest[r]);
+  }
+}
+
+// Cores to be kept free for what ordinary work varies by.
+double Fleet::ordinary_spare() const {
+  const Tuning& tuning = ctx_.settings->tuning;
+  return std::min(tuning.headroom * ordinary_.cores, tuning.headroom_spread * std::sqrt(ordinary_.squares));
+}
+
 void Fleet::refresh_types() {
   next_types_ = ctx_.env->now() + kTypesEvery;
   ctx_.cloud->machine_types(alive([this](const CloudReply& reply) {
@@ -351,6 +377,18 @@
 
 // ---------------------------------------------------------------- what is wanted
 
+// What a gang takes on one machine, if there is one that holds all of it; else what each task takes.
+Resources Fleet::as_unit(const DemandSummary& wanted) const {
+  Resources all = wanted.demand;
+  for (double& amount : all) amount *= wanted.count;
+  for (const MachineType& type : ctx_.types->all()) {
+    const bool allowed = wanted.flavours.empty() || std::find(wanted.flavours.begin(), wanted.flavours.end(),
+                                                              type.name) != wanted.flavours.end();
+    if (allowed && fits(all, {type.cores, type.memory_gb, type.accelerators})) return all;
+  }
+  return wanted.demand;
+}
+
 std::vector<FleetDemand> Fleet::demands() const {
   std::vector<FleetDemand> out;
   std::vector<const DemandSummary*> all;
@@ -377,6 +415,11 @@
     FleetDemand demand;
     demand.demand = wanted->demand;
     demand.count = count;
+    if (wanted->gang) {
+      if (count < wanted->count) continue;  // not all of it is within the team's limit
+      demand.demand = as_unit(*wanted);
+      if (demand.demand != wanted->demand) demand.count = 1;
+    }
     demand.rank = wanted->urgency;
     demand.guess_s = wanted->guess_s;
     demand.pull_gb = wanted->pull_gb;
@@ -487,6 +530,15 @@
   headroom.start_within_s = 0.5;
   headroom.spot_only = true;
   wanted.push_back(headroom);
+  if (ordinary_.cores >= kLeastOrdinary && ordinary_.largest[0] > 0) {
+    FleetDemand kept;
+    kept.demand = ordinary_.largest;
+    kept.count = static_cast<int>(std::ceil(ordinary_spare() / ordinary_.largest[0]));
+    kept.rank = -1;
+    kept.start_within_s = 0.5;
+    kept.spot_allowed = false;
+    wanted.push_back(kept);
+  }
 
   const FleetPlan result = plan_fleet(types, markets, machines, wanted, FleetLimits{});
 
@@ -518,6 +570,7 @@
     rent(result.rents);
   }
 
+  keep_ordinary(names, machines, types);
   wind_down(names, machines, types);
 
   // Idle machines that the plan does not count on go back, the dearest first, a few a step: a share of the
@@ -527,6 +580,7 @@
   for (std::size_t m = 0; m < names.size(); m++) {
     const MachineSummary* machine = reporting(names[m]);
     if (machine == nullptr || !machines[m].usable || result.needed_rooms[m] > 0 || !machine->empty) continue;
+    if (kept_.count(names[m]) > 0) continue;
     if (machine->idle_s < (machines[m].spot ? tuning.idle_return_s : tuning.idle_ordinary_s)) continue;
     const FleetType& type = types[static_cast<std::size_t>(machines[m].type)];
     const double price = (machines[m].spot ? type.spot_price : type.hourly) / std::max(1.0, type.capacity[0]);
@@ -540,11 +594,31 @@
   }
 }
 
+// Work that may run on ordinary machines only, gangs above all, finds them taken if other work may fill them
+// too: as many as it needs take nothing that could go elsewhere. Those kept already stay, then the largest.
+void Fleet::keep_ordinary(const std::vector<std::string>& names, const std::vector<FleetMachine>& machines,
+                          const std::vector<FleetType>& types) {
+  double left = ordinary_.cores < kLeastOrdinary ? 0 : ordinary_.cores + ordinary_spare();
+  std::vector<std::tuple<bool, double, std::string>> candidates;  // in order
+  for (std::size_t m = 0; m < names.size(); m++) {
+    if (machines[m].spot || !machines[m].usable) continue;
+    const double cores = types[static_cast<std::size_t>(machines[m].type)].capacity[0];
+    candidates.emplace_back(kept_.count(names[m]) == 0, -cores, names[m]);
+  }
+  std::sort(candidates.begin(), candidates.end());
+  kept_.clear();
+  for (const auto& [fresh, less, name] : candidates) {
+    if (left <= 0) break;
+    kept_.insert(name);
+    left += less;
+  }
+}
+
 // An ordinary machine that always gets some task never falls idle. When the others have room for all that
 // waits and a reserve without it, it takes nothing new; when work waits again, it does.
 void Fleet::wind_down(const std::vector<std::string>& names, const std::vector<FleetMachine>& machines,
                       const std::vector<FleetType>& types) {
-  winding_.clear();
+  winding_ = kept_;
   double waiting = 0;
   for (const auto& [part, told] : summaries_) {
     for (const DemandSummary& demand : told.summary.demands)
@@ -560,7 +634,7 @@
     if (reporting(names[m]) == nullptr || !machines[m].usable) continue;
     free += room_now(m);
     const FleetType& type = types[static_cast<std::size_t>(machines[m].type)];
-    if (!machines[m].spot) ordinary.emplace_back(-type.hourly / std::max(1.0, type.capacity[0]), m);
+    if (!machines[m].spot && kept_.count(names[m]) == 0) ordinary.emplace_back(-type.hourly / std::max(1.0, type.capacity[0]), m);
   }
   std::sort(ordinary.begin(), ordinary.end());
   const double reserve = kWindReserve * used_cores_;
--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <map>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -79,6 +80,11 @@
   [[nodiscard]] bool within_limit(const DemandSummary& demand) const;
   void judge();
   void plan();
+  void follow_ordinary_use(const std::function<void(double&, double)>& follow);
+  [[nodiscard]] double ordinary_spare() const;
+  void keep_ordinary(const std::vector<std::string>& names, const std::vector<FleetMachine>& machines,
+                     const std::vector<FleetType>& types);
+  [[nodiscard]] Resources as_unit(const DemandSummary& wanted) const;
   void wind_down(const std::vector<std::string>& names, const std::vector<FleetMachine>& machines,
                  const std::vector<FleetType>& types);
   void rent(const std::vector<FleetPlan::Rent>& wanted);
@@ -124,6 +130,8 @@
   double used_cores_ = 0;       // smoothed
   double headroom_share_ = 0;   // of all cores: what is wanted free, as last planned
   double squares_ = 0;          // of the open jobs' cores, smoothed
+  OrdinaryUse ordinary_;        // smoothed likewise
+  std::set<std::string> kept_;  // ordinary machines that are kept for work that may run nowhere else
   double last_step_ = 0;
   double began_ = 0;
   double next_note_ = 0;
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -33,12 +33,12 @@
 }
 }  // namespace
 
-Node::Node(Env& env, Settings settings)
+Node::Node(Env& env, Settings settings, Capabilities capabilities)
     : env_(env),
       settings_(std::move(settings)),
       state_(env_, settings_),
       cloud_(env_, settings_),
-      ownership_(env_, state_, settings_,
+      ownership_(env_, state_, settings_, capabilities,
                  {[this](int part, std::uint64_t baton) { gained(part, baton); },
                   [this](int part) { lost(part); }, [] {}}),
       user_api_({&env_, &state_, &settings_, &types_, &ownership_,
@@ -46,7 +46,7 @@
                    const auto it = parts_.find(index);
                    return it != parts_.end() && it->second->active() ? it->second.get() : nullptr;
                  },
-                 [this](const std::string& node) { return address_of(node); }}) {}
+                 [this](const std::string& node) { return address_of(node); }, capabilities.gangs}) {}
 
 std::size_t Node::most_front_connections(const Settings& settings) {
   constexpr int kOurs = 80;  // to the state service, the cloud, other nodes; direct commands
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -25,7 +25,7 @@
   // Of the sockets, what users and workers may use: one node may have to bear everybody's.
   static std::size_t most_front_connections(const Settings& settings);
 
-  Node(Env& env, Settings settings);
+  Node(Env& env, Settings settings, Capabilities capabilities = {});
   ~Node();
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
--- a/src/coordination/ownership.cpp
+++ b/src/coordination/ownership.cpp
@@ -27,10 +27,12 @@
 }
 }  // namespace
 
-Ownership::Ownership(Env& env, StateClient& state, const Settings& settings, Listener listener)
+Ownership::Ownership(Env& env, StateClient& state, const Settings& settings, Capabilities capabilities,
+                     Listener listener)
     : env_(env),
       state_(state),
       settings_(settings),
+      capabilities_(capabilities),
       listener_(std::move(listener)),
       boot_(settings.node + "." + std::to_string(env.random() >> 16)) {}
 
@@ -154,10 +156,10 @@
                   return;
                 }
                 std::vector<bool> present(owners_.size(), false);
-                alive_since_.clear();
+                live_nodes_.clear();
                 for (const StateItem& item : items) {
                   if (const std::string node = node_of(item.key); !node.empty()) {
-                    see_node(node, true);
+                    see_node(node, item.data);
                     continue;
                   }
                   const int part = std::atoi(item.key.c_str() + keys::kParts.size());
@@ -190,7 +192,7 @@
           const std::string key = event.value(put ? "put" : "delete", "");
           if (key.size() <= keys::kParts.size()) continue;
           if (const std::string node = node_of(key); !node.empty()) {
-            see_node(node, put);
+            see_node(node, put ? event.value("data", Json::object()) : Json());
             continue;
           }
           const int part = std::atoi(key.c_str() + keys::kParts.size());
@@ -241,20 +243,28 @@
 void Ownership::announce() {
   const std::uint64_t hold = hold_;
   Transaction txn;
-  txn.put_held(keys::kParts + "@" + settings_.node, {{"boot", boot_}}, hold);
+  Json announced = {{"boot", boot_}};
+  if (capabilities_.gangs) announced["gangs"] = true;
+  txn.put_held(keys::kParts + "@" + settings_.node, std::move(announced), hold);
   state_.commit(Lane::kLease, txn, [this, hold](const StateReply& reply) {
     if (!reply.ok() && hold == hold_ && hold != 0) env_.after(1.0, [this] { announce(); });
   });
 }
 
-void Ownership::see_node(const std::string& node, bool alive) {
-  if (alive) {
-    alive_since_[node] = env_.now();  // a new announcement is a new process
+// `announced`: null when the announcement is gone.
+void Ownership::see_node(const std::string& node, const Json& announced) {
+  if (announced.is_object()) {
+    live_nodes_[node] = {env_.now(), announced.value("gangs", false)};  // a new announcement is a new process
   } else {
-    alive_since_.erase(node);
+    live_nodes_.erase(node);
   }
 }
 
+bool Ownership::earlier_version_alive() const {
+  return std::any_of(live_nodes_.begin(), live_nodes_.end(),
+                     [](const auto& item) { return !item.second.gangs; });
+}
+
 // The nodes in the order in which they take a part: its home first. The same on every node.
 std::vector<std::string> Ownership::order_of(int part) const {
   std::vector<std::string> names = {settings_.node};
@@ -279,8 +289,8 @@
     const auto at = static_cast<std::size_t>(p);
     if (held_[at] == 0) continue;
     const std::string home = order_of(p).front();
-    const auto alive = alive_since_.find(home);
-    if (home == settings_.node || alive == alive_since_.end() || env_.now() - alive->second < kSteady)
+    const auto live = live_nodes_.find(home);
+    if (home == settings_.node || live == live_nodes_.end() || env_.now() - live->second.since < kSteady)
       continue;
     spdlog::info("part {} goes home to {}", p, home);
     releasing_ = true;
--- a/src/coordination/ownership.hpp
+++ b/src/coordination/ownership.hpp
@@ -20,6 +20,11 @@
   std::uint64_t baton = 0;
 };
 
+// What a node can do that earlier versions can't. Tests have nodes behave like an earlier version.
+struct Capabilities {
+  bool gangs = true;
+};
+
 class Ownership {
  public:
   struct Listener {
@@ -27,7 +32,8 @@
     std::function<void(int part)> lost;
     std::function<void()> owners_changed;
   };
-  Ownership(Env& env, StateClient& state, const Settings& settings, Listener listener);
+  Ownership(Env& env, StateClient& state, const Settings& settings, Capabilities capabilities,
+            Listener listener);
 
   void start();
   [[nodiscard]] int parts() const { return static_cast<int>(owners_.size()); }
@@ -43,6 +49,8 @@
   [[nodiscard]] double lease_end() const { return lease_end_; }
   // At that moment of our clock no other node had heard anything from the state service since the end of our
   // lease: nobody can have replaced us, or told a user anything, by then.
+  // A node that is known to live has said nothing of gangs: it is of an earlier version.
+  [[nodiscard]] bool earlier_version_alive() const;
   void vouched(double moment) { unreplaced_at_ = std::max(unreplaced_at_, moment); }
   // May this part's workers be given new leases? Somebody may have replaced us without our knowing and have
   // confirmed cancellations since; the tasks must be gone within cancel_s of that, so a lease that we give
@@ -70,7 +78,7 @@
   void see(int part, const Sight& sight);
   void consider(int part);
   void announce();
-  void see_node(const std::string& node, bool alive);
+  void see_node(const std::string& node, const Json& announced);
   void send_home();
   [[nodiscard]] std::vector<std::string> order_of(int part) const;
   void claim(int part, std::uint64_t stamp);
@@ -80,13 +88,18 @@
   Env& env_;
   StateClient& state_;
   const Settings& settings_;
+  Capabilities capabilities_;
   Listener listener_;
   std::string boot_;  // tells this process from an earlier one of the same node
   std::vector<PartOwner> owners_;
   std::vector<std::string> owner_boots_;
   std::vector<std::uint64_t> held_;  // our baton, 0: not ours
   std::vector<bool> claiming_;
-  std::map<std::string, double> alive_since_;  // nodes whose announcement is there, by our clock
+  struct LiveNode {
+    double since = 0;    // by our clock
+    bool gangs = false;  // it can run them
+  };
+  std::map<std::string, LiveNode> live_nodes_;  // those whose announcement is there
   std::uint64_t hold_ = 0;                     // 0: no lease
   double valid_until_ = 0;
   double lease_end_ = 0;
--- a/src/coordination/part.cpp
+++ b/src/coordination/part.cpp
@@ -62,6 +62,7 @@
   if (job.confirmed) return {JobFinding::Kind::kStatus, {JobPhase::kCancelled, 0, 0}};
   if (job.called_off()) return {JobFinding::Kind::kBeingCancelled, {}};
   JobStatus status{JobPhase::kQueued, job.done.size(), job.placed + job.lent_open()};
+  if (job.is_gang()) status.running = gang_tasks_running(job);
   // Only a durable ending is told: a completed job that is not written yet counts as running.
   if (status.running > 0 || job.complete()) status.phase = JobPhase::kRunning;
   return {job.finishing ? JobFinding::Kind::kUndecided : JobFinding::Kind::kStatus, status};
@@ -102,7 +103,7 @@
   if (!slot) {
     slot = std::make_unique<Machine>();
     slot->name = report.host;
-    slot->record = {report.address, report.flavour, report.hall, report.loaner, report.tenure, {}};
+    slot->record = {report.address, report.flavour, report.hall, report.loaner, report.tenure, {}, {}};
     slot->first_heard = slot->busy_at = ctx_.env->now();
     shape_machine(*slot);
     spdlog::info("{} reports: {} in {}{}", report.host, report.flavour, report.hall,
@@ -222,29 +223,34 @@
     new_session(machine, report.tenure);
   }
 
-  std::unordered_map<std::uint64_t, const PieceReport*> by_try;
-  for (const PieceReport& piece : report.pieces) by_try.emplace(piece.try_no, &piece);
+  // (The tasks of a gang share an attempt number.)
+  std::map<std::pair<std::uint64_t, int>, const PieceReport*> by_try;
+  for (const PieceReport& piece : report.pieces) by_try.emplace(std::pair(piece.try_no, piece.index), &piece);
   machine.strays.clear();
-  std::vector<std::pair<std::uint64_t, ExitCause>> exits;
+  std::vector<const PieceReport*> exits;
   for (Placement& placement : machine.placements) {
-    const auto it = by_try.find(placement.try_no);
+    const auto it = by_try.find({placement.try_no, placement.index});
     if (it != by_try.end() && it->second->ref == placement.job->spec().ref &&
         it->second->index == placement.index) {
       const PieceReport& piece = *it->second;
       by_try.erase(it);
       placement.seen_tick = report.tick;
       if (placement.sent_tick != 0) machine.unheard = 0;
-      if (placement.phase == PiecePhase::kPulling && piece.phase == PiecePhase::kRunning) {
-        placement.running_since = now;
+      if (placement.phase == PiecePhase::kPulling && piece.phase != PiecePhase::kPulling &&
+          piece.phase != PiecePhase::kExited) {
         machine.use_image(placement.job->bundle, placement.job->spec().pull_gb,
                           ctx_.types->at(std::max(0, machine.type)).cache_gb);
       }
+      if (placement.running_since == 0 && piece.phase == PiecePhase::kRunning) {
+        placement.running_since = now;
+        if (placement.job->is_gang()) placement.job->attempt.started = true;
+      }
       placement.phase = piece.phase;
       if (piece.phase == PiecePhase::kExited) {
         if (placement.stage == Placement::Stage::kFreeing) {
           machine.strays.push_back(piece);
         } else {
-          exits.emplace_back(placement.try_no, piece.cause);
+          exits.push_back(&piece);
           machine.strays.push_back(piece);
         }
       }
@@ -253,18 +259,19 @@
       const bool settled =
           direct ? placement.inherited && placement.sent_tick == 0 : placement.sent_tick < report.tick;
       if (settled && (placement.job->over() || placement.job->cancelling || placement.preempted ||
-                      !machine.welcome() || placement.job->done.contains(placement.index))) {
+                      attempt_over(*placement.job) || !machine.welcome() ||
+                      placement.job->done.contains(placement.index))) {
         free_placement(placement, 0);
       }
     }
   }
   for (const auto& [try_no, piece] : by_try) machine.strays.push_back(*piece);
-  for (const auto& [try_no, cause] : exits) {
+  for (const PieceReport* piece : exits) {
     for (Placement& placement : machine.placements) {
-      if (placement.try_no == try_no) {
-        on_exit(machine, placement, cause);
-        break;
-      }
+      if (placement.job == nullptr || placement.try_no != piece->try_no || placement.index != piece->index)
+        continue;
+      on_exit(machine, placement, piece->cause);
+      break;
     }
   }
   std::erase_if(machine.placements, [](const Placement& p) { return p.job == nullptr; });
@@ -355,6 +362,7 @@
     return;
   }
   double delay = 0;
+  if (cause == ExitCause::kError || cause == ExitCause::kOther) job->attempt.failed = true;
   if (cause == ExitCause::kError) {
     counters_.errors++;
     job->error_streak++;
@@ -387,6 +395,8 @@
     delay = machine.sick ? 0 : std::min(30.0, 0.5 * std::pow(2.0, std::min(job->error_streak, 6)));
     spdlog::info("{} failed on {} (try {})", piece_name(job->spec().ref, placement.index), machine.name,
                  placement.try_no);
+  } else if (cause == ExitCause::kMatesGone || cause == ExitCause::kAlone) {
+    job->attempt.failed = true;  // neither the machine's fault nor the job's
   } else if (cause != ExitCause::kHalted) {
     spdlog::info("{} refused by {}: cause {}", piece_name(job->spec().ref, placement.index), machine.name,
                  static_cast<int>(cause));
@@ -433,15 +443,20 @@
 
 void Part::mark_done(const JobPtr& job, int index) {
   if (job->done.contains(index)) return;
-  job->done.insert(index);
-  job->waiting.erase(index);
-  std::erase_if(job->backoff, [index](const auto& item) { return item.second == index; });
-  job->unsaved.insert(index);
+  // The tasks of a gang complete together.
+  const int first = job->is_gang() ? 0 : index;
+  const int last = job->is_gang() ? job->spec().pieces : index + 1;
+  job->done.insert(first, last);
+  job->unsaved.insert(first, last);
+  job->waiting.erase(job->waiting.slice(first, last));
+  std::erase_if(job->backoff,
+                [first, last](const auto& item) { return item.second >= first && item.second < last; });
   if (notes_since_ == 0) notes_since_ = ctx_.env->now();
 }
 
 void Part::free_placement(Placement& placement, double delay) {
   if (placement.stage == Placement::Stage::kFreeing) return;
+  if (placement.job->is_gang()) gang_task_lost(*placement.job);
   placement.stage = Placement::Stage::kFreeing;
   placement.requeue_delay = delay;
   freeing_ = true;
@@ -459,6 +474,7 @@
 void Part::give_room(Machine& machine, Job& job) {
   teams_.remove(job.team, job.demand);
   job.placed--;
+  if (job.placed == 0) job.attempt = {};
   job.placed_by_hall[machine.hall]--;
   for (std::size_t r = 0; r < machine.room.size(); r++) machine.room[r] += job.demand[r];
 }
@@ -531,6 +547,16 @@
   }
 }
 
+// With which grace period the task is to be stopped, if it is.
+std::optional<double> Part::stop_wanted(const Placement& placement) {
+  const Job& job = *placement.job;
+  if (job.called_off() || job.done.contains(placement.index) || job.attempt.failed) return 0;
+  const bool gracefully = placement.preempted || (job.attempt.stopping && job.attempt.stop_recorded);
+  // (Whether a second stop ends a task that is saving already is not said.)
+  if (!gracefully || placement.phase == PiecePhase::kSaving) return std::nullopt;
+  return stop_grace_s(job.spec());
+}
+
 void Part::stop_directly(const JobPtr& job) {
   for (auto& [name, machine] : machines_) {
     const auto& placements = machine->placements;
@@ -547,12 +573,9 @@
   for (const Placement& placement : machine.placements) {
     const Job& job = *placement.job;
     if (placement.stage != Placement::Stage::kRecorded) continue;
-    const std::string piece = piece_name(job.spec().ref, placement.index);
-    if (job.called_off()) {
-      orders.push_back({Order::Verb::kStop, piece, placement.try_no, 0});
-    } else if (placement.preempted && placement.phase != PiecePhase::kSaving) {
-      orders.push_back({Order::Verb::kStop, piece, placement.try_no, stop_grace_s(job.spec())});
-    }
+    const auto grace = stop_wanted(placement);
+    if (grace) orders.push_back({Order::Verb::kStop, piece_name(job.spec().ref, placement.index),
+                                 placement.try_no, *grace});
   }
   if (!orders.empty()) send_direct(machine, orders);
 }
@@ -604,6 +627,7 @@
     }
   }
   raise_batons();
+  look_after_gangs();
   look_for_best_effort();
   preempt();
   pump();
--- a/src/coordination/part.hpp
+++ b/src/coordination/part.hpp
@@ -23,6 +23,7 @@
 #include "coordination/state_client.hpp"
 #include "coordination/summary.hpp"
 #include "protocol/names.hpp"
+#include "scheduling/gang.hpp"
 #include "scheduling/preemption.hpp"
 
 namespace mothslip {
@@ -72,6 +73,7 @@
   Json on_peer(const std::string& path, const Json& body);
 
   [[nodiscard]] PartSummary summary() const;
+  static void note_ordinary_use(const Job& job, double cores, OrdinaryUse& use);
   void apply(const FleetOrders& orders);
   // No commit has been answered for a while.
   [[nodiscard]] bool state_silent() const;
@@ -153,6 +155,7 @@
     std::vector<JobPtr> jobs;
   };
   void place_greedily(Machine& machine, Candidates& candidates);
+  void place_task(Machine& machine, const JobPtr& job, std::uint64_t attempt);
   [[nodiscard]] bool starving(const Job& job) const;
   [[nodiscard]] std::map<int, const Job*> saving() const;
   [[nodiscard]] static double age_bonus(const Job& job, double wall);
@@ -162,6 +165,36 @@
   [[nodiscard]] bool small_on(const Job& job, int type) const;
   void wake();
 
+  // part_gang.cpp
+  [[nodiscard]] static bool attempt_over(const Job& job);
+  [[nodiscard]] int gang_tasks_running(const Job& job) const;
+  [[nodiscard]] bool has_allowance(const Job& job) const;
+  [[nodiscard]] bool gang_may_be_placed(const Job& job) const;
+  [[nodiscard]] static bool gang_may_be_launched(const Job& job);
+  [[nodiscard]] static GangNeeds gang_needs(const Job& job);
+  [[nodiscard]] bool open_to_gang(const Job& job, const Machine& machine) const;
+  [[nodiscard]] double fetch_s(const Job& job, const Machine& machine) const;
+  bool place_gang(const JobPtr& job);
+  void gang_task_lost(Job& job);
+  void stop_gang(const JobPtr& job, const char* why);
+  void look_after_gangs();
+  void look_after_attempt(const JobPtr& job);
+  [[nodiscard]] std::vector<std::pair<Machine*, Placement*>> placements_of(const Job& job) const;
+  void gangs_written(const std::set<JobPtr>& gangs);
+  void stops_written(const std::set<JobPtr>& gangs);
+  void release_reservation();
+  void reserve_for_gangs();
+  [[nodiscard]] std::vector<Machine*> capacity_for(const Job& job) const;
+  void reserve_for(const JobPtr& job);
+  void seek_capacity();
+  Json on_gang_capacity(const Json& body);
+  int lend_gangs(const Json& body);
+  [[nodiscard]] bool finds_room_here(const Job& job) const;
+  [[nodiscard]] std::vector<GangShare> find_offered_places(const Job& job, const Json& offers,
+                                                           const std::vector<Resources>& rooms) const;
+  void tell_home(const JobPtr& job);
+  Json on_gang_state(const Json& body);
+
   // part_preempt.cpp
   struct Yieldable {
     Machine* machine = nullptr;
@@ -176,6 +209,7 @@
   [[nodiscard]] bool open_to_best_effort(const Job& job, const Machine& machine, bool is_quiet) const;
   [[nodiscard]] Yieldable yieldable(Machine& machine) const;
   void preempt_for(const Job& job, int count, std::vector<Yieldable>& machines, std::size_t& stops_left);
+  void clear_reserved(std::size_t& stops_left);
   void preempt();
   void look_for_best_effort();
   void measure_headroom();
@@ -190,6 +224,7 @@
   void answer(Machine& machine);
   std::vector<Order> orders_for(Machine& machine);
   void raise_batons();
+  [[nodiscard]] static std::optional<double> stop_wanted(const Placement& placement);
   void stop_directly(const JobPtr& job);
   void send_stops(Machine& machine);
   void send_direct(Machine& machine, const std::vector<Order>& orders, bool raise = false);
@@ -221,6 +256,7 @@
   };
   void add_blocks(PageCommit& commit);
   void unlend(const NewBlock& block);
+  std::set<JobPtr> add_gangs(PageCommit& commit);
   void add_new_placements(PageCommit& commit);
   void add_notes(PageCommit& commit);
   void clean_pages(PageCommit& commit);
@@ -337,6 +373,11 @@
   // parts were asked only ever for tasks, and the allowance that they did not use never moved.)
   int asked_for_tasks_ = 0;
   int asked_for_allowance_ = 0;
+  int asked_for_capacity_ = 0;  // for a gang
+  bool seeking_ = false;        // a part was asked for it and has not answered yet
+  double next_seek_ = 0;
+  JobPtr reserving_;  // the gang for which machines are kept
+  double reserved_at_ = 0;
   enum Slot { kCancelSlot = 0, kPageSlot, kDoneSlot, kRestSlot, kSlots };
   static constexpr int kSlotLimit[kSlots] = {2, 1, 2, 1};
   int inflight_[kSlots] = {};
--- a/src/coordination/part_fill.cpp
+++ b/src/coordination/part_fill.cpp
@@ -12,13 +12,16 @@
 constexpr double kGuaranteeBonus = 0.5;
 constexpr double kAvoid = 60;      // seconds
 constexpr double kStarving = 45;   // seconds
+constexpr double kGangStarving = 12;   // its room does not gather by itself
 constexpr double kAgeFrom = 90;    // seconds since submission; then a unit of preference
 constexpr double kAgeWeight = 45;  // every so many
 
 // The machine will be taken away: what can save does so now and goes on elsewhere.
 bool saves_before_it_is_killed(const Machine& machine, const Placement& placement) {
   const bool goes = machine.warned_at || (machine.draining && machine.sick);
-  return goes && placement.phase == PiecePhase::kRunning && placement.job->spec().saves();
+  // (A gang is stopped as a whole.)
+  return goes && placement.phase == PiecePhase::kRunning && placement.job->spec().saves() &&
+         !placement.job->is_gang();
 }
 }  // namespace
 
@@ -93,7 +96,7 @@
     if (needs_type(job->least_cores, machine.type)) {
       if (!fits(job->demand, machine.capacity) || !allowed_on(*job, machine)) continue;
       const bool hungry = starving(*job);
-      if (!hungry && !teams_.room(job->team, job->demand)) continue;
+      if (!hungry && !has_allowance(*job)) continue;
       large = true;
       large_starves |= hungry;
       large_urgency = std::max(large_urgency, urgency);
@@ -132,7 +135,7 @@
 bool Part::starving(const Job& job) const {
   if (job.placed > 0 || !job.done.empty() || job.waiting.empty() || job.lent_open() > 0) return false;
   if (job.at_fault()) return false;  // it has begun, and failed
-  return ctx_.env->wall() - job.head.submitted > kStarving;
+  return ctx_.env->wall() - job.head.submitted > (job.is_gang() ? kGangStarving : kStarving);
 }
 
 // Teams whose allowance is saved up, and for which job: the one that has waited longest of those that one of
@@ -140,7 +143,7 @@
 std::map<int, const Job*> Part::saving() const {
   std::map<int, const Job*> out;
   for (const auto& [name, job] : jobs_) {
-    if (job->over() || !starving(*job) || teams_.room(job->team, job->demand)) continue;
+    if (job->over() || !starving(*job) || has_allowance(*job)) continue;
     const bool here = std::any_of(machines_.begin(), machines_.end(), [this, &job = job](const auto& item) {
       return item.second->welcome() && fits(job->demand, item.second->capacity) &&
              allowed_on(*job, *item.second);
@@ -175,10 +178,12 @@
     if (job->waiting.empty() || job->over() || job->cancelling || !job->cancel_waiters.empty()) continue;
     const JobSpec& spec = job->spec();
     if (!fits(job->demand, machine.room)) continue;
+    if (machine.reserved_for && machine.reserved_for != job) continue;
+    if (job->is_gang() && (now < job->next_gang_look || !gang_may_be_placed(*job))) continue;
     if (job->at_fault() && (job->placed > 0 || now < job->next_try)) continue;
     if (!allowed_on(*job, machine)) continue;
     const auto saved = saved_for.find(job->team);
-    if (!teams_.room(job->team, job->demand)) {
+    if (!has_allowance(*job)) {
       if (saved == saved_for.end() || saved->second == job.get()) note_short(*job);
       continue;
     }
@@ -207,15 +212,13 @@
 // Takes one task of the job with the highest preference, and scores again, until nothing fits.
 void Part::place_greedily(Machine& machine, Candidates& candidates) {
   auto& [requests, jobs] = candidates;
-  const double now = ctx_.env->now();
   const double wall = ctx_.env->wall();
-  const MachineType& type = ctx_.types->at(machine.type);
   while (!requests.empty()) {
     for (std::size_t i = 0; i < requests.size();) {
       const Job& job = *jobs[i];
       const JobSpec& spec = job.spec();
       const bool out = job.waiting.empty() || !fits(job.demand, machine.room) || !allowed_on(job, machine) ||
-                       !teams_.room(job.team, job.demand) || (job.at_fault() && job.placed > 0);
+                       !has_allowance(job) || (job.at_fault() && job.placed > 0);
       if (out) {
         requests.erase(requests.begin() + static_cast<std::ptrdiff_t>(i));
         jobs.erase(jobs.begin() + static_cast<std::ptrdiff_t>(i));
@@ -232,30 +235,40 @@
     }
     const int best = choose(machine.room, requests, weights_);
     if (best < 0) break;
-    const JobPtr& job = jobs[static_cast<std::size_t>(best)];
-    Placement placement;
-    placement.job = job;
-    placement.index = *job->waiting.first();
-    // Unique and rising: the baton is new for every owner, the counter within it.
-    placement.try_no = (baton_ << 20U) + ++next_try_;
-    job->waiting.erase(placement.index);
-    job->idle_since = now;
-    take_room(machine, *job);
-    if (!machine.has_image(job->bundle)) {
-      counters_.fetches++;
-      machine.use_image(job->bundle, job->spec().pull_gb, type.cache_gb);
+    const JobPtr job = jobs[static_cast<std::size_t>(best)];
+    if (!job->is_gang()) {
+      // Unique and rising: the baton is new for every owner, the counter within it.
+      place_task(machine, job, (baton_ << 20U) + ++next_try_);
+    } else if (!place_gang(job)) {
+      requests.erase(requests.begin() + best);
+      jobs.erase(jobs.begin() + best);
     }
-    machine.placements.push_back(std::move(placement));
-    if (gives_way(*job)) {
-      beyond_headroom_ -= job->demand[0];
-    } else {
-      machine.wanted_at = now;
-    }
-    fresh_ = true;
-    machine.busy_at = now;
   }
 }
 
+void Part::place_task(Machine& machine, const JobPtr& job, std::uint64_t attempt) {
+  const double now = ctx_.env->now();
+  Placement placement;
+  placement.job = job;
+  placement.index = *job->waiting.first();
+  placement.try_no = attempt;
+  job->waiting.erase(placement.index);
+  job->idle_since = now;
+  take_room(machine, *job);
+  if (!machine.has_image(job->bundle)) {
+    counters_.fetches++;
+    machine.use_image(job->bundle, job->spec().pull_gb, ctx_.types->at(machine.type).cache_gb);
+  }
+  machine.placements.push_back(std::move(placement));
+  if (gives_way(*job)) {
+    beyond_headroom_ -= job->demand[0];
+  } else {
+    machine.wanted_at = now;
+  }
+  fresh_ = true;
+  machine.busy_at = now;
+}
+
 std::vector<Order> Part::orders_for(Machine& machine) {
   std::vector<Order> orders;
   // A cancellation can have been promised by another owner since our lease ran out. And a report that does
@@ -266,15 +279,14 @@
     if (placement.stage != Placement::Stage::kRecorded) continue;
     const Job& job = *placement.job;
     const std::string piece = piece_name(job.spec().ref, placement.index);
-    const bool unwanted = job.called_off() || job.done.contains(placement.index);
+    const bool unwanted = job.called_off() || job.done.contains(placement.index) || attempt_over(job);
     if (placement.seen_tick == machine.tick && machine.tick != 0) {
-      if (unwanted) {
-        orders.push_back({Order::Verb::kStop, piece, placement.try_no, 0});
-      } else if (placement.preempted ? placement.phase != PiecePhase::kSaving
-                                     : saves_before_it_is_killed(machine, placement)) {
-        orders.push_back({Order::Verb::kStop, piece, placement.try_no, stop_grace_s(job.spec())});
-      }
-    } else if (!unwanted && !placement.preempted && may_launch && machine.welcome()) {
+      auto grace = stop_wanted(placement);
+      if (!grace && !placement.preempted && saves_before_it_is_killed(machine, placement))
+        grace = stop_grace_s(job.spec());
+      if (grace) orders.push_back({Order::Verb::kStop, piece, placement.try_no, *grace});
+    } else if (!unwanted && !placement.preempted && may_launch && machine.welcome() &&
+               gang_may_be_launched(job)) {
       if (placement.sent_tick != 0) {
         counters_.relaunches++;
         if (!again) machine.unheard++;
@@ -290,7 +302,9 @@
     const JobPtr job = find_task(stray.ref, stray.index);
     if (stray.phase == PiecePhase::kExited) {
       const bool held = std::any_of(machine.placements.begin(), machine.placements.end(),
-                                    [&stray](const Placement& p) { return p.try_no == stray.try_no; });
+                                    [&stray](const Placement& p) {
+                                      return p.try_no == stray.try_no && p.index == stray.index;
+                                    });
       const bool lost_if_reaped = stray.cause == ExitCause::kDone && job != nullptr && !job->head.aborted &&
                                   !job->durable(stray.index);
       if (!held && !lost_if_reaped) {
--- a/src/coordination/part_journal.cpp
+++ b/src/coordination/part_journal.cpp
@@ -43,6 +43,7 @@
   std::vector<Ref> added;
   std::vector<Ref> removed;
   std::vector<Ref> moved;
+  std::vector<Ref> stops;  // of gangs, recorded as being stopped
   std::vector<std::pair<JobPtr, RangeSet>> saved;
   std::vector<std::pair<NewBlock, Json>> blocks;
   std::map<std::string, std::uint64_t> owners;  // of the parts that borrow
@@ -146,8 +147,12 @@
   for (const auto& [key, stamp] : commit.owners) commit.txn.guard(key, stamp);
   for (const auto& [name, machine] : machines_) {
     for (const Placement& placement : machine->placements) {
-      if (placement.stage == Placement::Stage::kFreeing && commit.puts.count(placement.page) > 0) {
-        commit.removed.push_back({name, placement.try_no, placement.index, placement.page});
+      if (commit.puts.count(placement.page) == 0) continue;
+      const PageCommit::Ref ref{name, placement.try_no, placement.index, placement.page};
+      if (placement.stage == Placement::Stage::kFreeing) {
+        commit.removed.push_back(ref);
+      } else if (placement.job->attempt.stopping) {
+        commit.stops.push_back(ref);
       }
     }
   }
@@ -249,6 +254,9 @@
       const auto [it, fresh] = out.hosts.try_emplace(name);
       if (fresh) it->second = machine->record;
       it->second.placements.push_back({placement.job->spec().ref, placement.index, placement.try_no});
+      std::vector<std::uint64_t>& stopping = it->second.stopping;
+      if (placement.job->attempt.stopping && (stopping.empty() || stopping.back() != placement.try_no))
+        stopping.push_back(placement.try_no);
     }
   }
   for (const auto& [name, done] : pages_.at(number).done) out.done.emplace(name, done.to_text());
@@ -283,6 +291,39 @@
   return true;
 }
 
+// All places of a gang go into one write, or none does: returns the gangs of which that is so. (One that is too large for a page is spread over
+// several writes like other placements: nothing of it is launched before the last is durable.)
+std::set<JobPtr> Part::add_gangs(PageCommit& commit) {
+  std::map<JobPtr, std::vector<std::pair<Machine*, Placement*>>> gangs;
+  for (auto& [name, machine] : machines_) {
+    for (Placement& placement : machine->placements) {
+      const bool is_new = placement.stage == Placement::Stage::kNew && placement.page == 0;
+      if (is_new && placement.job->is_gang()) gangs[placement.job].emplace_back(machine.get(), &placement);
+    }
+  }
+  std::set<JobPtr> whole;
+  for (const auto& [job, placements] : gangs) {
+    std::size_t bytes = 0;
+    const Machine* last = nullptr;
+    for (const auto& [machine, placement] : placements) {
+      bytes += placement_bytes(*placement) + (machine != last ? host_bytes(*machine) : 0);
+      last = machine;
+    }
+    if (bytes + kPageFrame > page_limit()) continue;
+    whole.insert(job);
+    if (commit.guards() + 3 > commit.most_guards || !use_newest(commit, bytes)) {
+      fresh_ = true;
+      continue;
+    }
+    commit.heads[keys::head(job->home, job->spec().ref)] = job->head_stamp;
+    for (const auto& [machine, placement] : placements) {
+      placement->page = kNewest;
+      commit.added.push_back({machine->name, placement->try_no, placement->index, 0});
+    }
+  }
+  return whole;
+}
+
 void Part::add_new_placements(PageCommit& commit) {
   std::vector<Machine*> machines;
   for (auto& [name, machine] : machines_) {
@@ -296,10 +337,12 @@
                                  [this](const Machine* machine) { return machine->name > last_written_; });
   std::rotate(machines.begin(), next, machines.end());
   fresh_ = false;
+  const std::set<JobPtr> gangs = add_gangs(commit);
   for (Machine* machine : machines) {
     bool entered = false;
     for (Placement& placement : machine->placements) {
       if (placement.stage != Placement::Stage::kNew || placement.page != 0) continue;
+      if (gangs.count(placement.job) > 0) continue;
       const std::string head = keys::head(placement.job->home, placement.job->spec().ref);
       const bool known = commit.heads.count(head) > 0;
       if (commit.guards() + (known ? 0 : 1) + 2 > commit.most_guards) {
@@ -447,10 +490,20 @@
     if (lent != block.job->lent.end()) lent->second.stamp = std::max(lent->second.stamp, epoch);
   }
   for (const auto& [job, indices] : commit.saved) job->saved(indices);
+  std::set<JobPtr> gangs;
   for (const auto& ref : commit.added) {
     Placement* placement = find_placement(ref.machine, ref.try_no, ref.index);
-    if (placement != nullptr && placement->stage == Placement::Stage::kNew)
-      placement->stage = Placement::Stage::kRecorded;
+    if (placement == nullptr) continue;
+    if (placement->stage == Placement::Stage::kNew) placement->stage = Placement::Stage::kRecorded;
+    if (placement->job->is_gang()) gangs.insert(placement->job);
+  }
+  gangs_written(gangs);
+  std::set<JobPtr> stopped;
+  for (const auto& ref : commit.stops) {
+    Placement* placement = find_placement(ref.machine, ref.try_no, ref.index);
+    if (placement == nullptr) continue;
+    placement->stop_recorded = true;
+    stopped.insert(placement->job);
   }
   for (const auto& ref : commit.removed) {
     const auto it = machines_.find(ref.machine);
@@ -462,6 +515,7 @@
       break;
     }
   }
+  stops_written(stopped);
   for (const auto& ref : commit.added) {
     const auto it = machines_.find(ref.machine);
     if (it != machines_.end()) answer(*it->second);
--- a/src/coordination/part_lending.cpp
+++ b/src/coordination/part_lending.cpp
@@ -13,6 +13,7 @@
 constexpr double kBorrowIdle = 0.9;
 constexpr double kGiveBack = 2.5;  // waiting tasks of a block that found no place this long go home
 constexpr double kSaveUp = 30;     // longer where room or allowance is saved up for it
+constexpr double kGatherGang = 60;
 constexpr std::size_t kMaxOffers = 40;
 constexpr std::size_t kMaxNewBlocks = 8;  // not written yet
 constexpr int kMaxBlocks = 4;             // lent per request
@@ -235,7 +236,7 @@
   const auto most = static_cast<std::size_t>(ctx_.state->writes_per_txn());
   for (auto& [key, job] : jobs_) {
     if (!job->borrowed() || job->head.aborted || job->progress_inflight || job->cleaning) continue;
-    const double patience = starving(*job) ? kSaveUp : kGiveBack;
+    const double patience = !starving(*job) ? kGiveBack : job->is_gang() ? kGatherGang : kSaveUp;
     const bool give_back = !job->waiting.empty() && now - job->idle_since > patience &&
                            (!job->bound() || (job->placed == 0 && job->backoff.empty()));
     // Until the block is complete its completions are kept in the journal's pages.
@@ -293,7 +294,7 @@
   std::vector<std::pair<const Machine*, Resources>> rooms;
   for (const auto& [name, machine] : machines_) {
     if (machine->type < 0 || !machine->welcome() || now < machine->no_fill_until) continue;
-    if (!machine->heard || now - machine->last_heard > fresh_s()) continue;
+    if (!machine->heard || now - machine->last_heard > fresh_s() || machine->reserved_for) continue;
     Resources room = machine->room;
     if (others_wait) {
       const Yieldable free = yieldable(*machine);
@@ -307,7 +308,8 @@
     rooms.emplace_back(machine.get(), room);
   }
   for (const auto& [name, job] : jobs_) {
-    if (job->over() || (others_wait && gives_way(*job))) continue;
+    // (A gang that fits here is placed; the room that it can't use is offered.)
+    if (job->over() || job->is_gang() || (others_wait && gives_way(*job))) continue;
     int left = std::min(job->waiting.size(), teams_.tasks_within(job->team, job->demand));
     for (auto& [machine, room] : rooms) {
       if (machine->keeping && small_on(*job, machine->type)) continue;
@@ -330,7 +332,11 @@
   asked_for_tasks_ = next_part(asked_for_tasks_);
   borrowing_ = true;
   ctx_.ask(asked_for_tasks_, "/peer/borrow",
-           {{"part", id_}, {"baton", baton_}, {"rooms", std::move(offers)}, {"spare", std::move(spare)}},
+           {{"part", id_},
+            {"baton", baton_},
+            {"rooms", std::move(offers)},
+            {"spare", std::move(spare)},
+            {"gangs", true}},
            alive([this](const Json& answer) {
              borrowing_ = false;
              const bool lent = answer.is_object() && answer.value("lent", 0) > 0;
@@ -347,6 +353,8 @@
   try {
     if (path == "/peer/borrow") return {{"lent", on_borrow(body)}};
     if (path == "/peer/allow") on_allow(body);
+    if (path == "/peer/gang_capacity") return on_gang_capacity(body);
+    if (path == "/peer/gang_state") return on_gang_state(body);
   } catch (const Json::exception&) {
     return {{"error", "malformed"}};
   }
@@ -358,11 +366,12 @@
   const int to = body.at("part").get<int>();
   const auto to_baton = body.at("baton").get<std::uint64_t>();
   if (to < 0 || to >= ctx_.parts || to == id_ || new_blocks_.size() >= kMaxNewBlocks) return 0;
+  const int gang_tasks = lend_gangs(body);
   const double now = ctx_.env->now();
   std::vector<std::pair<const Machine*, Resources>> rooms;
   for (const auto& [name, machine] : machines_) {
     if (machine->type < 0 || !machine->welcome() || now < machine->no_fill_until) continue;
-    if (!machine->heard || now - machine->last_heard > fresh_s()) continue;
+    if (!machine->heard || now - machine->last_heard > fresh_s() || machine->reserved_for) continue;
     machine->keeping = keeps_for_large(*machine);
     rooms.emplace_back(machine.get(), machine->room);
   }
@@ -373,8 +382,8 @@
   const double wall = ctx_.env->wall();
   for (const auto& [name, job] : jobs_) {
     const JobSpec& spec = job->spec();
-    if (job->borrowed() || job->over() || job->cancelling || job->waiting.empty() || job->at_fault() ||
-        !job->cancel_waiters.empty()) {
+    if (job->borrowed() || job->is_gang() || job->over() || job->cancelling || job->waiting.empty() ||
+        job->at_fault() || !job->cancel_waiters.empty()) {
       continue;
     }
     // Where the tasks of a job are bound to each other one part must see all that are placed: they go whole.
@@ -403,7 +412,10 @@
     surplus.push_back(left);
     counts.push_back(0);
   }
-  if (requests.empty()) return 0;
+  if (requests.empty()) {
+    if (gang_tasks > 0) pump();
+    return gang_tasks;
+  }
   std::vector<std::pair<double, double>> spare;
   for (const Json& item : body.at("spare"))
     spare.emplace_back(item.at(0).get<double>(), item.at(1).get<double>());
@@ -459,7 +471,7 @@
       spare.at(static_cast<std::size_t>(jobs[i]->team)).second -= jobs[i]->demand[2];
     }
   }
-  int lent = 0;
+  int lent = gang_tasks;
   int blocks = 0;
   for (std::size_t i = 0; i < jobs.size() && blocks < kMaxBlocks; i++) {
     if (counts[i] == 0) continue;
@@ -492,7 +504,8 @@
   Lent lent;
   const double budget = block_budget(*job);
   for (int i = 0; i < count && !job->waiting.empty(); i++) {
-    if (!lent.range.empty() && block_bytes(lent.range) > budget) break;
+    // (The tasks of a gang are done together, or none is: their ranges stay short.)
+    if (!job->is_gang() && !lent.range.empty() && block_bytes(lent.range) > budget) break;
     const int index = *job->waiting.first();
     job->waiting.erase(index);
     lent.range.insert(index);
@@ -560,7 +573,7 @@
 void Part::note_short(const Job& job) {
   if (starving(job)) {
     // All that others can spare is for one task of it.
-    short_of_[job.team] = job.demand;
+    short_of_[job.team] = job.start_demand();
     pressing_.insert(job.team);
     return;
   }
@@ -708,6 +721,14 @@
 }
 }  // namespace
 
+void Part::note_ordinary_use(const Job& job, double cores, OrdinaryUse& use) {
+  use.cores += cores;
+  use.squares += cores * cores;
+  const double at_once = job.is_gang() ? job.spec().pieces : 1;
+  for (std::size_t r = 0; r < use.largest.size(); r++)
+    use.largest[r] = std::max(use.largest[r], at_once * job.demand[r]);
+}
+
 PartSummary Part::summary() const {
   constexpr double kBucket = 5;  // seconds: ends of tasks that are close count as one
   const double now = ctx_.env->now();
@@ -757,7 +778,11 @@
     out.used_by_team[job->team] += job->placed * job->demand[0];
     if (!job->borrowed() && !gives_way(*job)) {
       const double cores = (job->placed + count + job->lent_open()) * job->demand[0];
-      out.squares += cores * cores;
+      if (spec.loaner) {
+        out.squares += cores * cores;
+      } else {
+        note_ordinary_use(*job, cores, out.ordinary);
+      }
     }
     if (count == 0) continue;
     DemandSummary demand;
@@ -775,6 +800,7 @@
     if (spec.hall) demand.hall = *spec.hall;
     demand.submitted = job->head.submitted;
     demand.starving = starving(*job);
+    demand.gang = job->is_gang();
     out.demands.push_back(std::move(demand));
   }
   return out;
--- a/src/coordination/part_load.cpp
+++ b/src/coordination/part_load.cpp
@@ -126,6 +126,7 @@
         slot->name = name;
         slot->record = record;
         slot->record.placements.clear();
+        slot->record.stopping.clear();
         slot->last_heard = slot->busy_at = ctx_.env->now();
         shape_machine(*slot);
       }
@@ -138,6 +139,12 @@
       placement.stage = Placement::Stage::kRecorded;
       placement.page = number;
       placement.inherited = true;
+      if (job->is_gang()) {
+        job->attempt.number = from.try_no;
+        placement.stop_recorded = std::find(record.stopping.begin(), record.stopping.end(), from.try_no) !=
+                                  record.stopping.end();
+        job->attempt.stopping |= placement.stop_recorded;
+      }
       job->waiting.erase(from.index);
       take_room(machine, *job);
       machine.placements.push_back(std::move(placement));
@@ -157,6 +164,15 @@
     job->waiting.clear();
     if (!job->borrowed()) cancelled(job);
   }
+  // Whether a task that is missing was lost or never placed is not known, nor whether the gang had started: the
+  // others are stopped, and all begin anew.
+  for (const auto& [name, job] : jobs_) {
+    if (!job->is_gang() || job->placed == 0) continue;
+    GangAttempt& attempt = job->attempt;
+    attempt.placed_at = attempt.launched_at = attempt.stopping_since = ctx_.env->now();
+    attempt.failed = job->placed < job->spec().pieces;
+    attempt.stop_recorded = attempt.stopping;
+  }
   raise_batons();
   auto early = std::move(early_);
   early_.clear();
--- a/src/coordination/part_preempt.cpp
+++ b/src/coordination/part_preempt.cpp
@@ -57,7 +57,7 @@
 // Waits for nothing but room: under its team's limit, and not at fault.
 bool Part::wants_room(const Job& job) const {
   return !job.waiting.empty() && !job.over() && !job.cancelling && job.cancel_waiters.empty() &&
-         !job.at_fault() && teams_.room(job.team, job.demand);
+         !job.at_fault() && has_allowance(job);
 }
 
 // Work that goes first waits for room on such a machine: here, or at another part.
@@ -114,7 +114,8 @@
       for (std::size_t r = 0; r < out.room.size(); r++) out.room[r] += job.demand[r];
       continue;
     }
-    if (placement.stage != Placement::Stage::kRecorded || !gives_way(job)) continue;
+    // (A gang would have to be stopped as a whole.)
+    if (placement.stage != Placement::Stage::kRecorded || !gives_way(job) || job.is_gang()) continue;
     const double ran = placement.running_since == 0 ? 0 : now - placement.running_since;
     const bool soon_over = placement.running_since != 0 && job.spec().guess_s - ran < kNearlyDone;
     const bool only_one = job.placed == 1 && job.done.empty();
@@ -181,15 +182,36 @@
   beyond_headroom_ = free - kHeadroomKept * headroom_share_ * all;
 }
 
+// Best-effort tasks leave the machines that are kept for a gang, unless it is one of theirs.
+void Part::clear_reserved(std::size_t& stops_left) {
+  for (auto& [name, machine] : machines_) {
+    if (!machine->reserved_for || gives_way(*machine->reserved_for)) continue;
+    const Yieldable room = yieldable(*machine);
+    bool any = false;
+    for (const PreemptionCandidate& each : room.candidates) {
+      if (stops_left == 0) break;
+      Placement& placement = machine->placements[each.id];
+      placement.preempted = any = true;
+      placement.job->stops[placement.index]++;
+      counters_.preempted++;
+      stops_left--;
+    }
+    if (any) send_stops(*machine);
+  }
+}
+
 // Stops best-effort tasks for other work that has waited for room for a moment.
 void Part::preempt() {
   if (!best_effort_here_ || state_silent() || !ctx_.exclusive_owner()) return;
   const double wall = ctx_.env->wall();
   std::vector<const Job*> waiting;
   for (const auto& [name, job] : jobs_) {
-    if (wants_room(*job) && !gives_way(*job) && wall - job->head.submitted > kPatience)
+    // (Room for a gang is made where it is reserved.)
+    if (wants_room(*job) && !gives_way(*job) && !job->is_gang() && wall - job->head.submitted > kPatience)
       waiting.push_back(job.get());
   }
+  std::size_t stops_left = kStopsPerTick;
+  clear_reserved(stops_left);
   if (waiting.empty()) return;
   const double now = ctx_.env->now();
   std::vector<Yieldable> machines;
@@ -202,7 +224,6 @@
   }
   if (!any) return;
   std::sort(waiting.begin(), waiting.end(), [](const Job* a, const Job* b) { return goes_before(*a, *b); });
-  std::size_t stops_left = kStopsPerTick;
   for (const Job* job : waiting) {
     if (stops_left == 0) break;
     const int count = std::min(job->waiting.size(), teams_.tasks_within(job->team, job->demand));
--- a/src/coordination/summary.cpp
+++ b/src/coordination/summary.cpp
@@ -35,18 +35,21 @@
                            {"h", demand.hall},
                            {"a", demand.submitted},
                            {"z", demand.starving}});
+    if (demand.gang) demand_list.back()["k"] = true;
   }
   Json teams = Json::array();
   for (const auto& [team, cores] : used_by_team) teams.push_back({team, cores});
   Json wanted = Json::array();
   for (const auto& [team, cores] : wanted_by_team) wanted.push_back({team, cores});
-  return {{"part", part},
-          {"baton", baton},
-          {"squares", squares},
-          {"wanted", std::move(wanted)},
-          {"teams", std::move(teams)},
-          {"machines", std::move(machine_list)},
-          {"demands", std::move(demand_list)}};
+  Json out = {{"part", part},
+              {"baton", baton},
+              {"squares", squares},
+              {"wanted", std::move(wanted)},
+              {"teams", std::move(teams)},
+              {"machines", std::move(machine_list)},
+              {"demands", std::move(demand_list)}};
+  if (!ordinary.empty()) out["ordinary"] = {ordinary.cores, ordinary.squares, to_list(ordinary.largest)};
+  return out;
 }
 
 std::optional<PartSummary> PartSummary::from_json(const Json& value) {
@@ -57,6 +60,10 @@
     for (const Json& item : value.at("wanted"))
       out.wanted_by_team[item.at(0).get<int>()] = item.at(1).get<double>();
     out.squares = value.value("squares", 0.0);
+    if (value.contains("ordinary")) {
+      const Json& ordinary = value["ordinary"];
+      out.ordinary = {ordinary.at(0).get<double>(), ordinary.at(1).get<double>(), from_list(ordinary.at(2))};
+    }
     for (const Json& item : value.at("teams"))
       out.used_by_team[item.at(0).get<int>()] = item.at(1).get<double>();
     for (const Json& item : value.at("machines")) {
@@ -95,6 +102,7 @@
       demand.hall = item.at("h").get<std::string>();
       demand.submitted = item.at("a").get<double>();
       demand.starving = item.value("z", false);
+      demand.gang = item.value("k", false);
       out.demands.push_back(std::move(demand));
     }
   } catch (const Json::exception&) {
--- a/src/coordination/summary.hpp
+++ b/src/coordination/summary.hpp
@@ -39,6 +39,16 @@
   std::string hall;                   // empty: any
   double submitted = 0;
   bool starving = false;  // of its job nothing has begun for long
+  bool gang = false;      // the tasks start together: they are asked for as one
+};
+
+// Work that may only run on ordinary machines: what it takes, and what that varies by.
+struct OrdinaryUse {
+  double cores = 0;
+  double squares = 0;   // of the cores of each open job
+  Resources largest{};  // that has to be free at once for one of the jobs to start
+
+  [[nodiscard]] bool empty() const { return cores <= 0; }
 };
 
 struct PartSummary {
@@ -47,6 +57,7 @@
   std::map<int, double> wanted_by_team;  // cores placed and waiting
   std::map<int, double> used_by_team;
   double squares = 0;  // of the cores that each open job of this part's own has placed or waiting, summed
+  OrdinaryUse ordinary;
   std::vector<MachineSummary> machines;
   std::vector<DemandSummary> demands;
 
--- a/src/coordination/user_api.cpp
+++ b/src/coordination/user_api.cpp
@@ -11,6 +11,7 @@
 namespace {
 constexpr double kForwardSeconds = 0.8;
 constexpr double kCancelForwardSeconds = 2.5;
+constexpr int kUpgradeSeconds = 5;
 constexpr double kHeadFill = 0.9;  // of the value size: a cancellation adds to the record
 constexpr double kAcceptPatience = 0.8;
 // Users wait this long for the state of a job. What is learned later is of no use to them.
@@ -94,7 +95,11 @@
     return;
   }
   std::string why;
-  const auto spec = parse_job(json, why);
+  auto spec = parse_job(json, why);
+  if (spec && spec->gang && !ctx_.gangs) {
+    spec.reset();
+    why = "shape";
+  }
   if (!spec) {
     const auto ref = json.find("ref");
     const bool named = ref != json.end() && ref->is_string();
@@ -119,7 +124,25 @@
     responder.send(429, R"({"error":"too many submissions"})", 2);
     return;
   }
-  accept(*spec, responder);
+  if (spec->gang) {
+    accept_gang(*spec, responder);
+  } else {
+    accept(*spec, responder);
+  }
+}
+
+// Nodes of an earlier version can't run gangs. While one is known to live, none is accepted; but once one has
+// been, wherever, that does not hold the others up.
+void UserApi::accept_gang(const JobSpec& spec, const Responder& responder) {
+  if (gangs_accepted_ || !ctx_.ownership->earlier_version_alive()) return accept(spec, responder);
+  ctx_.state->get(Lane::kAccept, keys::kGangs, [this, spec, responder](const StateReply& reply) {
+    if (reply.ok()) {
+      gangs_accepted_ = true;
+      accept(spec, responder);
+      return;
+    }
+    responder.send(503, R"({"error":"not all controllers can run gangs yet"})", kUpgradeSeconds);
+  });
 }
 
 void UserApi::accept(const JobSpec& spec, const Responder& responder) {
@@ -135,9 +158,12 @@
   txn.guard(keys::head(part, ref), 0);
   txn.guard(keys::ending(part, ref), 0);
   txn.put(keys::head(part, ref), head.to_json());
+  const bool first_gang = spec.gang && !gangs_accepted_;
+  if (first_gang) txn.put(keys::kGangs, {{"accepted", true}});
   ctx_.state->commit(Lane::kAccept, txn, [this, ref, part, head, responder](const StateReply& reply) {
     if (reply.ok()) {
       spdlog::info("{} accepted", ref);
+      gangs_accepted_ |= head.spec.gang;
       if (Part* ours = ctx_.part(part); ours != nullptr) ours->admit(head, reply.epoch());
       responder.send(201, dump_json({{"ref", ref}, {"phase", "queued"}}));
     } else if (reply.outcome == Outcome::kConflict) {
--- a/src/coordination/user_api.hpp
+++ b/src/coordination/user_api.hpp
@@ -24,6 +24,7 @@
     const Ownership* ownership = nullptr;
     std::function<Part*(int part)> part;  // ours and active, or null
     std::function<std::string(const std::string& node)> peer_address;
+    bool gangs = true;  // accepted, as a rule
   };
   explicit UserApi(Context context);
 
@@ -38,6 +39,7 @@
 
  private:
   void accept(const JobSpec& spec, const Responder& responder);
+  void accept_gang(const JobSpec& spec, const Responder& responder);
   void refuse(const std::string& ref, int status, const std::string& why, const Responder& responder);
   void poll_owner(const std::string& address, const std::string& ref, const Responder& responder);
   // `open`: what is told of a job that has not ended.
@@ -49,6 +51,7 @@
   [[nodiscard]] std::string owner_address(const std::string& ref) const;
 
   Context ctx_;
+  bool gangs_accepted_ = false;  // one has been, by whichever node
   JobStatusService statuses_;
 };
 
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -11,6 +11,8 @@
 constexpr int kMaxPieces = 100000;
 constexpr std::size_t kMaxText = 256;
 constexpr std::size_t kMaxFlavours = 64;
+constexpr const char* kArrayShape = "array";
+constexpr const char* kGangShape = "ensemble";
 
 bool get_text(const Json& body, const char* field, std::string& out) {
   const auto it = body.find(field);
@@ -68,6 +70,8 @@
   if (text == "no_room") return ExitCause::kNoRoom;
   if (text == "in_use") return ExitCause::kInUse;
   if (text == "no_such") return ExitCause::kNoSuch;
+  if (text == "mates_gone") return ExitCause::kMatesGone;
+  if (text == "alone") return ExitCause::kAlone;
   return ExitCause::kOther;
 }
 
@@ -118,7 +122,9 @@
   if (!get_text(body, "workload", spec.workload)) return bad("workload");
   if (!get_text(body, "owner", spec.owner)) return bad("owner");
   std::string text;
-  if (!get_text(body, "shape", text) || text != "array") return bad("shape");
+  if (!get_text(body, "shape", text)) return bad("shape");
+  spec.gang = text == kGangShape;
+  if (!spec.gang && text != kArrayShape) return bad("shape");
   if (!get_text(body, "urgency", text)) return bad("urgency");
   const auto urgency = parse_urgency(text);
   if (!urgency) return bad("urgency");
@@ -164,7 +170,7 @@
   Json out = {{"ref", spec.ref},
               {"workload", spec.workload},
               {"owner", spec.owner},
-              {"shape", "array"},
+              {"shape", spec.gang ? kGangShape : kArrayShape},
               {"urgency", urgency_name(spec.urgency)},
               {"pieces", spec.pieces},
               {"cores", spec.cores},
@@ -248,7 +254,9 @@
   const int team = settings.team_index(spec.owner);
   if (team < 0) return "unknown team";
   const Team& limits = settings.teams[static_cast<std::size_t>(team)];
-  if (spec.cores > limits.cpus_max || spec.accelerators > limits.gpus_max) return "beyond the team's limit";
+  const int at_once = spec.gang ? spec.pieces : 1;
+  if (at_once * spec.cores > limits.cpus_max || at_once * spec.accelerators > limits.gpus_max)
+    return "beyond the team's limit";
   for (const MachineType& type : types.all()) {
     if (spec.flavours &&
         std::find(spec.flavours->begin(), spec.flavours->end(), type.name) == spec.flavours->end()) {
@@ -291,8 +299,10 @@
         !get_count(item, "try_no", piece.try_no) || !get_text(item, "phase", text)) {
       return std::nullopt;
     }
-    if (text == "pulling" || text == "waiting") {
+    if (text == "pulling") {
       piece.phase = PiecePhase::kPulling;
+    } else if (text == "waiting") {
+      piece.phase = PiecePhase::kWaiting;
     } else if (text == "saving") {
       piece.phase = PiecePhase::kSaving;
     } else if (text == "exited") {
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -27,6 +27,7 @@
   std::string workload;
   std::string owner;
   Urgency urgency = Urgency::kNormal;
+  bool gang = false;  // all tasks run at the same time, or none does
   int pieces = 1;
   double cores = 0;
   double accelerators = 0;
@@ -85,8 +86,10 @@
 // Empty when the job can run some day; else why it never can.
 std::string never_runs(const JobSpec& spec, const Settings& settings, const MachineTypes& types);
 
-enum class PiecePhase { kPulling, kRunning, kSaving, kExited };
-enum class ExitCause { kNone, kDone, kHalted, kError, kNoRoom, kInUse, kNoSuch, kOther };
+// kWaiting: has its image, and waits for the other tasks of its gang.
+enum class PiecePhase { kPulling, kWaiting, kRunning, kSaving, kExited };
+// kMatesGone: another task of the gang is gone; kAlone: the gang was not complete in time.
+enum class ExitCause { kNone, kDone, kHalted, kError, kNoRoom, kInUse, kNoSuch, kMatesGone, kAlone, kOther };
 
 struct PieceReport {
   std::string ref;
--- /dev/null
+++ b/tests/sim/collector.hpp
@@ -0,0 +1,52 @@
+// Collects what the nodes of a simulated day write: records by kind of key, and messages between nodes by path.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "sim/world.hpp"
+
+namespace mothslip::sim {
+
+class Collector {
+ public:
+  static constexpr std::size_t kMost = 12;  // of each kind
+
+  explicit Collector(World& world) : world_(world) {
+    world.on_peer_message = [this](const HttpCall& call, const HttpAnswer& answer) { take(call, answer); };
+    look();
+  }
+
+  // "w/j/2/job-000412" is of kind "w/j".
+  static std::string kind_of(const std::string& key) {
+    if (key.rfind("parts/@", 0) == 0) return "parts/@";
+    if (key.rfind("w/", 0) == 0) return key.substr(0, 3);
+    return key.substr(0, key.find('/'));
+  }
+
+  std::map<std::string, std::vector<Json>> records;   // by kind, different ones
+  std::map<std::string, std::vector<Json>> messages;  // by path: request and answer
+
+ private:
+  void look() {
+    for (const auto& [key, value] : world_.state.values()) add(records[kind_of(key)], value);
+    world_.in(0.5, [this] { look(); });
+  }
+  void take(const HttpCall& call, const HttpAnswer& answer) {
+    if (call.path.rfind("/peer/", 0) != 0) return;
+    add(messages[call.path],
+        {{"request", parse_json(call.body)}, {"status", answer.status}, {"answer", parse_json(answer.body)}});
+  }
+  static void add(std::vector<Json>& list, const Json& value) {
+    if (list.size() >= kMost && value.dump().size() < 2 * list.back().dump().size()) return;
+    for (const Json& known : list) {
+      if (known == value) return;
+    }
+    if (list.size() >= kMost) list.erase(list.begin());
+    list.push_back(value);
+  }
+
+  World& world_;
+};
+
+}  // namespace mothslip::sim
