--- a/src/bookkeeping/ledger.hpp
+++ b/src/bookkeeping/ledger.hpp
@@ -36,7 +36,7 @@
   // A task of it is gone, or it did not start in time: nothing of it is launched any more, and all of it is
   // stopped. The next attempt begins once the last task is known to be gone.
   bool failed = false;
-  bool stopping = false;     // to be stopped with its progress saved
+  bool stopping = false;  // to be stopped with its progress saved
   double stopping_since = 0;
   bool stop_recorded = false;  // that is durable: its tasks may be told
   double placed_at = 0;
@@ -77,8 +77,8 @@
   double next_gang_look = 0;  // places for it are not looked for before
   double reserved_since = 0;  // machines are kept for it since; 0: none are
   double next_reservation = 0;
-  bool lent_runs = false;     // a gang that is lent: the borrower says that it runs
-  double lent_heard = 0;      // when it said so
+  bool lent_runs = false;  // a gang that is lent: the borrower says that it runs
+  double lent_heard = 0;   // when it said so
   int placed = 0;
   std::map<int, int> stops;  // by task: how often it was stopped for other work
   std::map<int, int> placed_by_hall;
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -4,8 +4,10 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 #include "bookkeeping/records.hpp"
+#include "scheduling/gang.hpp"
 
 namespace mothslip {
 
@@ -30,7 +32,10 @@
 constexpr double kBestEffortStart = 120.0;       // machines are rented for best-effort work that waits longer
 constexpr std::size_t kRentalFrame = 40;         // bytes of a rental's record without its requests
 constexpr std::size_t kRentalRequestFrame = 60;  // and of a request without its names
-constexpr double kLeastOrdinary = 0.5;      // cores: less than that is no work at all
+constexpr double kGangAge = 2.0;                 // a gang that has waited so long gets machines of its own
+constexpr double kGangRentEvery = 2.5;           // by then it is known to which parts those just rented fall
+constexpr int kGangRent = 8;                     // at once
+constexpr double kLeastOrdinary = 0.5;           // cores: less than that is no work at all
 constexpr double kAskedFor = 10.0;               // a rental without an answer is counted on this long
 }  // namespace
 
@@ -389,6 +394,79 @@
   return wanted.demand;
 }
 
+bool Fleet::allows(const DemandSummary& wanted, int type, int hall, bool spot) const {
+  if (spot && !wanted.loaner) return false;
+  if (!wanted.hall.empty() && ctx_.halls->intern(wanted.hall) != hall) return false;
+  const std::string& name = ctx_.types->at(type).name;
+  return wanted.flavours.empty() ||
+         std::find(wanted.flavours.begin(), wanted.flavours.end(), name) != wanted.flavours.end();
+}
+
+// Tasks of the gang that each part's machines in this zone could hold if they were empty. A part owns the
+// machines whose names hash to it: those that are still booting count too.
+std::vector<int> Fleet::slots_by_part(const DemandSummary& gang, int hall) const {
+  std::vector<int> out(static_cast<std::size_t>(ctx_.parts));
+  for (const auto& [name, rented] : rented_) {
+    if (rented.returned || rented.returning || rented.failed || rented.hall != hall) continue;
+    if (!allows(gang, rented.type, hall, rented.spot)) continue;
+    const MachineSummary* machine = reporting(name);
+    if (machine != nullptr && !machine->welcome) continue;
+    const MachineType& type = ctx_.types->at(rented.type);
+    out[static_cast<std::size_t>(part_of(name, ctx_.parts))] +=
+        slots({type.cores, type.memory_gb, type.accelerators}, gang.demand);
+  }
+  return out;
+}
+
+// A gang that no single machine holds needs several of one part and, as a rule, of one zone. Which part a
+// machine falls to shows only when it is rented: where no part has enough, more are rented in the zone that
+// lacks least, until one has. (What is too much goes back when it is idle.)
+std::optional<FleetPlan::Rent> Fleet::rent_for(const DemandSummary& gang) const {
+  std::optional<FleetPlan::Rent> best;
+  int least_missing = gang.count;
+  double least_price = 0;
+  for (std::size_t t = 0; t < ctx_.types->all().size(); t++) {
+    const MachineType& type = ctx_.types->all()[t];
+    const int each = slots({type.cores, type.memory_gb, type.accelerators}, gang.demand);
+    if (each == 0) continue;
+    for (const std::string& zone : type.halls) {
+      const int hall = ctx_.halls->intern(zone);
+      const std::vector<int> by_part = slots_by_part(gang, hall);
+      const int missing = gang.count - *std::max_element(by_part.begin(), by_part.end());
+      if (missing <= 0) return std::nullopt;
+      for (const bool spot : {true, false}) {
+        const auto market = markets_.find({static_cast<int>(t), hall, spot});
+        const bool refused = market != markets_.end() && ctx_.env->now() < market->second.refused_until;
+        if (refused || !allows(gang, static_cast<int>(t), hall, spot)) continue;
+        const int count = (missing + each - 1) / each;
+        const double price = (spot ? type.spot_price : type.hourly) * count;
+        if (best && std::pair(missing, price) >= std::pair(least_missing, least_price)) continue;
+        best = FleetPlan::Rent{static_cast<int>(t), hall, spot, std::min(count, kGangRent)};
+        least_missing = missing;
+        least_price = price;
+      }
+    }
+  }
+  return best;
+}
+
+std::vector<FleetPlan::Rent> Fleet::rents_for_large_gangs() const {
+  std::vector<FleetPlan::Rent> out;
+  const double now = ctx_.env->now();
+  const DemandSummary* first = nullptr;
+  for (const auto& [part, told] : summaries_) {
+    if (now - told.at > kSummaryGood) continue;
+    for (const DemandSummary& demand : told.summary.demands) {
+      if (!demand.gang || as_unit(demand) != demand.demand || demand.count < 2) continue;
+      if (ctx_.env->wall() - demand.submitted < kGangAge || !within_limit(demand)) continue;
+      if (first == nullptr || demand.submitted < first->submitted) first = &demand;
+    }
+  }
+  if (first == nullptr) return out;
+  if (const auto rent = rent_for(*first)) out.push_back(*rent);
+  return out;
+}
+
 std::vector<FleetDemand> Fleet::demands() const {
   std::vector<FleetDemand> out;
   std::vector<const DemandSummary*> all;
@@ -567,7 +645,12 @@
   // stays silent must not keep the others from their machines.
   const bool all_told = static_cast<int>(summaries_.size()) == ctx_.parts;
   if (list_complete_ && (all_told || now - began_ > kSilentPart)) {
-    rent(result.rents);
+    std::vector<FleetPlan::Rent> rents = result.rents;
+    if (now >= next_gang_rent_) {
+      next_gang_rent_ = now + kGangRentEvery;
+      for (const FleetPlan::Rent& each : rents_for_large_gangs()) rents.push_back(each);
+    }
+    rent(rents);
   }
 
   keep_ordinary(names, machines, types);
@@ -634,7 +717,8 @@
     if (reporting(names[m]) == nullptr || !machines[m].usable) continue;
     free += room_now(m);
     const FleetType& type = types[static_cast<std::size_t>(machines[m].type)];
-    if (!machines[m].spot && kept_.count(names[m]) == 0) ordinary.emplace_back(-type.hourly / std::max(1.0, type.capacity[0]), m);
+    if (!machines[m].spot && kept_.count(names[m]) == 0)
+      ordinary.emplace_back(-type.hourly / std::max(1.0, type.capacity[0]), m);
   }
   std::sort(ordinary.begin(), ordinary.end());
   const double reserve = kWindReserve * used_cores_;
--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -4,8 +4,8 @@
 // used for another; a new owner repeats the recorded calls to learn what they brought.
 #pragma once
 
-#include <map>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -85,6 +85,10 @@
   void keep_ordinary(const std::vector<std::string>& names, const std::vector<FleetMachine>& machines,
                      const std::vector<FleetType>& types);
   [[nodiscard]] Resources as_unit(const DemandSummary& wanted) const;
+  [[nodiscard]] std::vector<FleetPlan::Rent> rents_for_large_gangs() const;
+  [[nodiscard]] std::optional<FleetPlan::Rent> rent_for(const DemandSummary& gang) const;
+  [[nodiscard]] std::vector<int> slots_by_part(const DemandSummary& gang, int hall) const;
+  [[nodiscard]] bool allows(const DemandSummary& wanted, int type, int hall, bool spot) const;
   void wind_down(const std::vector<std::string>& names, const std::vector<FleetMachine>& machines,
                  const std::vector<FleetType>& types);
   void rent(const std::vector<FleetPlan::Rent>& wanted);
@@ -131,6 +135,7 @@
   double headroom_share_ = 0;   // of all cores: what is wanted free, as last planned
   double squares_ = 0;          // of the open jobs' cores, smoothed
   OrdinaryUse ordinary_;        // smoothed likewise
+  double next_gang_rent_ = 0;
   std::set<std::string> kept_;  // ordinary machines that are kept for work that may run nowhere else
   double last_step_ = 0;
   double began_ = 0;
--- a/src/coordination/ownership.hpp
+++ b/src/coordination/ownership.hpp
@@ -100,7 +100,7 @@
     bool gangs = false;  // it can run them
   };
   std::map<std::string, LiveNode> live_nodes_;  // those whose announcement is there
-  std::uint64_t hold_ = 0;                     // 0: no lease
+  std::uint64_t hold_ = 0;                      // 0: no lease
   double valid_until_ = 0;
   double lease_end_ = 0;
   double unreplaced_at_ = 0;          // nobody had replaced us at this moment of our clock
--- a/src/coordination/part.cpp
+++ b/src/coordination/part.cpp
@@ -574,8 +574,9 @@
     const Job& job = *placement.job;
     if (placement.stage != Placement::Stage::kRecorded) continue;
     const auto grace = stop_wanted(placement);
-    if (grace) orders.push_back({Order::Verb::kStop, piece_name(job.spec().ref, placement.index),
-                                 placement.try_no, *grace});
+    if (grace)
+      orders.push_back(
+          {Order::Verb::kStop, piece_name(job.spec().ref, placement.index), placement.try_no, *grace});
   }
   if (!orders.empty()) send_direct(machine, orders);
 }
--- a/src/coordination/part_fill.cpp
+++ b/src/coordination/part_fill.cpp
@@ -10,11 +10,11 @@
 
 namespace {
 constexpr double kGuaranteeBonus = 0.5;
-constexpr double kAvoid = 60;      // seconds
-constexpr double kStarving = 45;   // seconds
-constexpr double kGangStarving = 12;   // its room does not gather by itself
-constexpr double kAgeFrom = 90;    // seconds since submission; then a unit of preference
-constexpr double kAgeWeight = 45;  // every so many
+constexpr double kAvoid = 60;         // seconds
+constexpr double kStarving = 45;      // seconds
+constexpr double kGangStarving = 12;  // its room does not gather by itself
+constexpr double kAgeFrom = 90;       // seconds since submission; then a unit of preference
+constexpr double kAgeWeight = 45;     // every so many
 
 // The machine will be taken away: what can save does so now and goes on elsewhere.
 bool saves_before_it_is_killed(const Machine& machine, const Placement& placement) {
@@ -301,10 +301,9 @@
     const std::string piece = piece_name(stray.ref, stray.index);
     const JobPtr job = find_task(stray.ref, stray.index);
     if (stray.phase == PiecePhase::kExited) {
-      const bool held = std::any_of(machine.placements.begin(), machine.placements.end(),
-                                    [&stray](const Placement& p) {
-                                      return p.try_no == stray.try_no && p.index == stray.index;
-                                    });
+      const bool held = std::any_of(
+          machine.placements.begin(), machine.placements.end(),
+          [&stray](const Placement& p) { return p.try_no == stray.try_no && p.index == stray.index; });
       const bool lost_if_reaped = stray.cause == ExitCause::kDone && job != nullptr && !job->head.aborted &&
                                   !job->durable(stray.index);
       if (!held && !lost_if_reaped) {
--- a/src/coordination/part_gang.cpp
+++ b/src/coordination/part_gang.cpp
@@ -38,8 +38,7 @@
 
 // Users are told that a gang runs only while all its tasks do.
 int Part::gang_tasks_running(const Job& job) const {
-  const bool lent_runs =
-      job.lent_open() > 0 && job.lent_runs && ctx_.env->now() - job.lent_heard < kToldGood;
+  const bool lent_runs = job.lent_open() > 0 && job.lent_runs && ctx_.env->now() - job.lent_heard < kToldGood;
   return job.gang_runs() || lent_runs ? job.spec().pieces : 0;
 }
 
@@ -179,8 +178,8 @@
   GangAttempt& attempt = job->attempt;
   const JobSpec& spec = job->spec();
   const double now = ctx_.env->now();
-  if (attempt.stopping && now - attempt.stopping_since >
-                              spec.snapshot_cost_s + 2 * ctx_.settings->gang_peer_s + kStopMargin)
+  if (attempt.stopping &&
+      now - attempt.stopping_since > spec.snapshot_cost_s + 2 * ctx_.settings->gang_peer_s + kStopMargin)
     attempt.failed = true;  // whoever is left has nothing to save any more
   if (attempt.launched_at == 0 && now - attempt.placed_at > kIncomplete) attempt.failed = true;
   if (attempt.failed) {
@@ -257,7 +256,8 @@
     rooms.push_back({capacity, machine->hall, std::round(busy * 4)});
   }
   std::vector<Machine*> out;
-  for (const GangShare& share : find_gang_places(gang_needs(job), rooms)) out.push_back(machines[share.machine]);
+  for (const GangShare& share : find_gang_places(gang_needs(job), rooms))
+    out.push_back(machines[share.machine]);
   return out;
 }
 
@@ -279,7 +279,8 @@
   next_seek_ = now + kSeekEvery;
   for (const auto& [name, job] : jobs_) {
     if (job->borrowed() || !job->is_gang() || !starving(*job) || job->attempt.number != 0) continue;
-    if (job->over() || job->called_off() || !gang_may_be_placed(*job) || !capacity_for(*job).empty()) continue;
+    if (job->over() || job->called_off() || !gang_may_be_placed(*job) || !capacity_for(*job).empty())
+      continue;
     asked_for_capacity_ = next_part(asked_for_capacity_);
     seeking_ = true;
     ctx_.ask(asked_for_capacity_, "/peer/gang_capacity", {{"job", job_to_json(job->spec())}},
@@ -315,7 +316,8 @@
   for (const auto& [name, job] : jobs_) {
     const bool whole = job->is_gang() && !job->borrowed() && gang_may_be_placed(*job) &&
                        job->attempt.number == 0 && job->lent_open() == 0 && job->backoff.empty();
-    if (!whole || job->over() || job->called_off() || job->at_fault() || !job->cancel_waiters.empty()) continue;
+    if (!whole || job->over() || job->called_off() || job->at_fault() || !job->cancel_waiters.empty())
+      continue;
     gangs.push_back(job);
   }
   if (gangs.empty()) return 0;
@@ -328,8 +330,8 @@
     if (finds_room_here(*job)) continue;
     const Json& spare = body.at("spare").at(static_cast<std::size_t>(job->team));
     const Resources needs = job->start_demand();
-    const bool allowance = needs[0] <= spare.at(0).get<double>() + 1e-9 &&
-                           needs[2] <= spare.at(1).get<double>() + 1e-9;
+    const bool allowance =
+        needs[0] <= spare.at(0).get<double>() + 1e-9 && needs[2] <= spare.at(1).get<double>() + 1e-9;
     const std::vector<GangShare> shares = find_offered_places(*job, body.at("rooms"), rooms);
     if (shares.empty()) continue;
     if (!allowance) {
--- a/src/coordination/part_journal.cpp
+++ b/src/coordination/part_journal.cpp
@@ -291,8 +291,9 @@
   return true;
 }
 
-// All places of a gang go into one write, or none does: returns the gangs of which that is so. (One that is too large for a page is spread over
-// several writes like other placements: nothing of it is launched before the last is durable.)
+// All places of a gang go into one write, or none does: returns the gangs of which that is so. (One that is
+// too large for a page is spread over several writes like other placements: nothing of it is launched before
+// the last is durable.)
 std::set<JobPtr> Part::add_gangs(PageCommit& commit) {
   std::map<JobPtr, std::vector<std::pair<Machine*, Placement*>>> gangs;
   for (auto& [name, machine] : machines_) {
--- a/src/coordination/part_load.cpp
+++ b/src/coordination/part_load.cpp
@@ -141,8 +141,8 @@
       placement.inherited = true;
       if (job->is_gang()) {
         job->attempt.number = from.try_no;
-        placement.stop_recorded = std::find(record.stopping.begin(), record.stopping.end(), from.try_no) !=
-                                  record.stopping.end();
+        placement.stop_recorded =
+            std::find(record.stopping.begin(), record.stopping.end(), from.try_no) != record.stopping.end();
         job->attempt.stopping |= placement.stop_recorded;
       }
       job->waiting.erase(from.index);
@@ -164,8 +164,8 @@
     job->waiting.clear();
     if (!job->borrowed()) cancelled(job);
   }
-  // Whether a task that is missing was lost or never placed is not known, nor whether the gang had started: the
-  // others are stopped, and all begin anew.
+  // Whether a task that is missing was lost or never placed is not known, nor whether the gang had started:
+  // the others are stopped, and all begin anew.
   for (const auto& [name, job] : jobs_) {
     if (!job->is_gang() || job->placed == 0) continue;
     GangAttempt& attempt = job->attempt;
--- a/src/scheduling/gang.cpp
+++ b/src/scheduling/gang.cpp
@@ -50,8 +50,8 @@
   for (auto it = candidates.begin(); tasks > 0; ++it) {
     if (it->slots >= tasks) {
       // (They are in order of their slots: the last that holds what is left is the tightest.)
-      const auto beyond = std::find_if(it, candidates.end(),
-                                       [tasks](const Candidate& each) { return each.slots < tasks; });
+      const auto beyond =
+          std::find_if(it, candidates.end(), [tasks](const Candidate& each) { return each.slots < tasks; });
       it = std::prev(beyond);
     }
     const int taken = std::min(tasks, it->slots);
@@ -95,13 +95,14 @@
   if (needs.together && needs.most_in_zone > 0 && needs.tasks > needs.most_in_zone) return {};
   std::map<int, std::vector<Candidate>> by_zone;
   for (std::size_t i = 0; i < machines.size(); i++) {
-    const int here = std::min(needs.tasks, slots(machines[i].room, needs.demand));
+    const int here = slots(machines[i].room, needs.demand);
     const int zone = needs.together || needs.most_in_zone > 0 ? machines[i].zone : 0;
     if (here > 0) by_zone[zone].push_back({i, here, machines[i].fetch_s, machines[i].zone});
   }
   if (!needs.together && needs.most_in_zone > 0) {
     std::vector<Candidate> all;
-    for (const auto& [zone, candidates] : by_zone) all.insert(all.end(), candidates.begin(), candidates.end());
+    for (const auto& [zone, candidates] : by_zone)
+      all.insert(all.end(), candidates.begin(), candidates.end());
     return choose_scattered(needs, std::move(all));
   }
   std::optional<Choice> best;
--- a/src/scheduling/gang.hpp
+++ b/src/scheduling/gang.hpp
@@ -19,8 +19,8 @@
 struct GangNeeds {
   Resources demand{};  // of a task
   int tasks = 0;
-  bool together = false;               // all in one zone
-  int most_in_zone = 0;                // at most so many of the gang in a zone; 0: any number
+  bool together = false;              // all in one zone
+  int most_in_zone = 0;               // at most so many of the gang in a zone; 0: any number
   std::map<int, int> placed_in_zone;  // tasks of the gang that are placed already
 };
 
@@ -33,7 +33,8 @@
 int slots(const Resources& room, const Resources& demand);
 
 // Places for all tasks, or none. A gang starts when its last image is there and runs at the speed of its
-// slowest machine: places that start early come first, then few machines, then those that are left with least.
+// slowest machine: places that start early come first, then few machines, then those that are left with
+// least.
 std::vector<GangShare> find_gang_places(const GangNeeds& needs, const std::vector<GangMachine>& machines);
 
 }  // namespace mothslip
--- /dev/null
+++ b/tests/gang_test.cpp
@@ -0,0 +1,449 @@
+// Gangs in the simulated cluster: their tasks start together or not at all, whatever happens meanwhile. The
+// machines play the protocol's rules for gangs (sim/gangs.hpp); the rules of the cluster are checked all the
+// time.
+#include <gtest/gtest.h>
+
+#include "bookkeeping/records.hpp"
+#include "sim/checks.hpp"
+#include "sim/days.hpp"
+#include "sim/world.hpp"
+
+using namespace mothslip;
+using namespace mothslip::sim;
+
+namespace {
+
+class Gang : public ::testing::TestWithParam<int> {
+ protected:
+  void SetUp() override { set_up_log(); }
+  static Options options() {
+    Options out;
+    out.seed = static_cast<std::uint64_t>(GetParam());
+    out.loss = 0.001;
+    out.market = 4;
+    out.team_cpus = 60;
+    out.team_max = 120;
+    return out;
+  }
+  // A few of each size, among arrays.
+  static void add_gangs(World& world, double from, double run_s) {
+    const int sizes[] = {2, 3, 4, 6, 8};
+    for (int i = 0; i < 8; i++)
+      world.submit(gang_job(world, 60 + i, from + 2 * i, sizes[i % 5], run_s, 1 + i % 2));
+    for (int i = 0; i < 6; i++) world.submit(plain_job(world, i, from + 2 * i, 6, 10));
+  }
+  static void expect_all_done(World& world) {
+    expect_kept(world);
+    for (const auto& [ref, job] : world.jobs) EXPECT_TRUE(job.told_done) << ref << "\n" << world.summary();
+  }
+};
+
+// A machine with a task of a gang in this phase, and where `apart` of one that is spread over machines.
+Worker* find_member(World& world, const std::string& phase, bool apart = false) {
+  for (auto& [name, worker] : world.workers) {
+    if (worker->dead || worker->hung) continue;
+    for (const Task& task : worker->tasks) {
+      if (task.job == nullptr || !task.job->gang || task.phase != phase) continue;
+      int here = 0;
+      for (const Task& other : worker->tasks) here += other.ref == task.ref ? 1 : 0;
+      if (!apart || here < task.job->pieces) return worker.get();
+    }
+  }
+  return nullptr;
+}
+
+// Does it as soon as there is such a machine.
+void when_member(World& world, const std::string& phase, bool apart,
+                 const std::function<void(Worker&)>& act) {
+  if (Worker* worker = find_member(world, phase, apart)) return act(*worker);
+  world.in(0.05, [&world, phase, apart, act] { when_member(world, phase, apart, act); });
+}
+
+// The cloud takes the machine away.
+void take_away(World& world, Worker& worker, double notice_s) {
+  worker.warning_s = notice_s;
+  worker.note_change();
+  world.in(notice_s, [&worker] { worker.dead = true; });
+}
+
+bool places_a_gang(const Json& txn) {
+  for (const Json& change : txn["then"]) {
+    if (!change.contains("put") || change["put"].get<std::string>().rfind("h/", 0) != 0) continue;
+    for (const auto& [host, record] : change["data"]["m"].items()) {
+      for (const auto& [ref, tasks] : record["p"].items()) {
+        // Two tasks with one attempt number.
+        for (std::size_t i = 1; i + 2 < tasks.size(); i += 2) {
+          if (tasks[i] == tasks[i + 2]) return true;
+        }
+      }
+    }
+  }
+  return false;
+}
+
+int node_number(const std::string& name) { return name.back() - '0'; }
+
+}  // namespace
+
+TEST_P(Gang, AllOfThemOnAQuietDay) {
+  World world(options());
+  add_gangs(world, 3, 20);
+  world.run_until(240);
+  expect_all_done(world);
+  EXPECT_EQ(world.gangs.failures, 0);
+  EXPECT_EQ(world.gangs.alone, 0);
+}
+
+// The others wait, and a replacement with the same attempt number completes the gang.
+TEST_P(Gang, ATaskThatIsLostBeforeTheStartIsReplaced) {
+  Options day = options();
+  day.loss = 0;
+  World world(day);
+  add_gangs(world, 3, 20);
+  world.at(30, [&world] {
+    world.submit(gang_job(world, 90, 31, 8, 20, 4));
+    when_member(world, "waiting", true, [](Worker& worker) { worker.reboot(false); });
+  });
+  world.run_until(260);
+  expect_all_done(world);
+}
+
+TEST_P(Gang, AMachineOfARunningGangLosesPower) {
+  World world(options());
+  add_gangs(world, 3, 40);
+  for (int i = 0; i < 3; i++) {
+    world.at(45 + 7 * i, [&world] {
+      when_member(world, "running", false, [](Worker& worker) { worker.reboot(false); });
+    });
+  }
+  world.troubles_end = 70;
+  world.run_until(330);
+  expect_all_done(world);
+  EXPECT_GT(world.gangs.failures, 0);
+}
+
+// Waiting, running: what hangs stays on its machine until its lease is over, and no attempt begins before.
+TEST_P(Gang, MachinesHang) {
+  World world(options());
+  add_gangs(world, 3, 40);
+  world.at(20, [&world] {
+    when_member(world, "waiting", false, [&world](Worker& worker) { world.hang(worker, 25); });
+  });
+  world.at(50, [&world] {
+    when_member(world, "running", true, [&world](Worker& worker) { world.hang(worker, 8); });
+  });
+  world.at(60, [&world] {
+    when_member(world, "running", false, [&world](Worker& worker) { world.hang(worker, 40); });
+  });
+  world.troubles_end = 105;
+  world.run_until(360);
+  expect_all_done(world);
+}
+
+TEST_P(Gang, MachinesDoNotHearOrReachNobody) {
+  World world(options());
+  add_gangs(world, 3, 30);
+  world.at(15, [&world] {
+    when_member(world, "pulling", false, [&world](Worker& worker) {
+      worker.muffled = true;
+      world.in(40, [&worker] { worker.muffled = false; });
+    });
+  });
+  world.at(40, [&world] {
+    when_member(world, "running", false, [&world](Worker& worker) {
+      worker.mute = true;
+      world.in(40, [&worker] { worker.mute = false; });
+    });
+  });
+  world.at(45, [&world] {
+    when_member(world, "running", true, [&world](Worker& worker) {
+      worker.deaf = true;
+      world.in(40, [&worker] { worker.deaf = false; });
+    });
+  });
+  world.troubles_end = 95;
+  world.run_until(400);
+  expect_all_done(world);
+}
+
+// Two members are told in the same second: one decision, durable first, and all are told in time.
+TEST_P(Gang, NoticesToTwoMembersInTheSameSecond) {
+  Options day = options();
+  day.loss = 0;
+  day.market = 12;
+  World world(day);
+  UserJob job = gang_job(world, 90, 3, 8, 80, 4);
+  const std::string ref = job.ref;
+  world.submit(job);
+  int stopped_without_record = 0;
+  world.at(75, [&] {
+    int warned = 0;
+    for (auto& [name, worker] : world.workers) {
+      const bool member = std::any_of(worker->tasks.begin(), worker->tasks.end(),
+                                      [&ref](const Task& task) { return task.ref == ref; });
+      if (member && warned++ < 2) take_away(world, *worker, 14);
+    }
+    ASSERT_GT(warned, 1);
+  });
+  world.on_commit = [&](const std::string&, const Json&) {
+    bool recorded = false;
+    for (const auto& [key, value] : world.state.values())
+      recorded |= key.rfind("h/", 0) == 0 && value.dump().find("\"x\":[") != std::string::npos;
+    if (!recorded && world.gangs.saves == 0 && find_member(world, "saving") != nullptr)
+      stopped_without_record++;
+  };
+  world.troubles_end = 95;
+  world.run_until(300);
+  expect_all_done(world);
+  EXPECT_EQ(world.gangs.saves, 1);
+  EXPECT_EQ(world.gangs.failed_saves, 0);
+  EXPECT_EQ(world.gangs.failures, 0);
+  EXPECT_EQ(stopped_without_record, 0);
+}
+
+// The owner ends as the decision becomes durable; a stop half told is gone on with.
+TEST_P(Gang, TheOwnerEndsInTheMiddleOfAStop) {
+  Options day = options();
+  day.market = 12;
+  World world(day);
+  world.submit(gang_job(world, 90, 3, 8, 80, 4));  // on two machines at the least
+  add_gangs(world, 3, 60);
+  bool ended = false;
+  world.on_commit = [&](const std::string& from, const Json& txn) {
+    if (ended || txn.dump().find("\"x\":[") == std::string::npos) return;
+    ended = true;
+    world.in(0.02, [&world, from] { world.crash_node(node_number(from), GetParam() % 2 == 0 ? 0.3 : 8); });
+  };
+  world.at(70, [&world] {
+    when_member(world, "running", true, [&world](Worker& worker) { take_away(world, worker, 15); });
+  });
+  world.troubles_end = 100;
+  world.run_until(380);
+  expect_all_done(world);
+  EXPECT_TRUE(ended);
+}
+
+// Between the durable write and the launches, and with the answer to that write lost.
+TEST_P(Gang, TheOwnerEndsAfterTheWriteThatPlacesThem) {
+  World world(options());
+  add_gangs(world, 20, 20);
+  int ended = 0;
+  world.on_commit = [&](const std::string& from, const Json& txn) {
+    if (ended >= 2 || !places_a_gang(txn)) return;
+    ended++;
+    world.in(0, [&world, from] { world.crash_node(node_number(from), 0.3); });
+  };
+  world.troubles_end = 80;
+  world.run_until(360);
+  expect_all_done(world);
+  EXPECT_GT(ended, 0);
+}
+
+TEST_P(Gang, TheAnswerToTheWriteThatPlacesThemIsLost) {
+  World world(options());
+  add_gangs(world, 20, 20);
+  int lost = 0;
+  world.commit_answer = [&](const std::string&, const Json& txn) {
+    return places_a_gang(txn) && lost++ % 2 == 0 ? -1.0 : 0.0;
+  };
+  world.run_until(300);
+  expect_all_done(world);
+  EXPECT_GT(lost, 0);
+}
+
+// Old copies of reports, also of earlier attempts, and transactions that are carried out late.
+TEST_P(Gang, CopiesComeLate) {
+  Options day = options();
+  day.copies = 0.15;
+  day.late_writes = 0.02;
+  World world(day);
+  add_gangs(world, 3, 30);
+  for (int i = 0; i < 3; i++) {
+    world.at(40 + 9 * i, [&world] {
+      when_member(world, "running", false, [](Worker& worker) { worker.reboot(false); });
+    });
+  }
+  world.at(62, [&world] { world.crash_node(some_node(world), 0.3); });
+  world.troubles_end = 120;
+  world.run_until(420);
+  expect_all_done(world);
+}
+
+TEST_P(Gang, CancelledInEveryPhase) {
+  World world(options());
+  add_gangs(world, 3, 30);
+  int cancelled = 0;
+  double at = 8;
+  for (const char* phase : {"pulling", "waiting", "running", "saving"}) {
+    world.at(at, [&world, &cancelled, phase] {
+      when_member(world, phase, false, [&world, &cancelled, phase](Worker& worker) {
+        for (const Task& task : worker.tasks) {
+          if (task.job == nullptr || !task.job->gang || task.phase != phase) continue;
+          cancelled++;
+          world.call_off(task.ref);
+          return;
+        }
+      });
+    });
+    at += 12;
+  }
+  world.at(41, [&world] {
+    when_member(world, "running", false, [&world](Worker& worker) { take_away(world, worker, 15); });
+  });
+  world.run_until(300);
+  expect_kept(world);
+  EXPECT_GE(cancelled, 3);
+}
+
+TEST_P(Gang, AllControllersAreAwayForLongerThanALease) {
+  World world(options());
+  add_gangs(world, 3, 40);
+  world.at(45, [&world] {
+    for (int i = 0; i < world.options.nodes; i++) world.crash_node(i, 16 + i);
+  });
+  world.troubles_end = 66;
+  world.run_until(360);
+  expect_all_done(world);
+}
+
+// A zone with some members is cut off; they go on under the old lease.
+TEST_P(Gang, MembersAreCutOff) {
+  World world(options());
+  add_gangs(world, 3, 40);
+  world.at(45, [&world] {
+    when_member(world, "running", true, [&world](Worker& worker) { world.cut_off(worker.name); });
+  });
+  world.at(50, [&world] { world.crash_node(some_node(world), 0.3); });
+  world.at(85, [&world] { world.mend_nodes(); });
+  world.troubles_end = 150;  // what was held back arrives up to a minute later
+  world.run_until(420);
+  expect_all_done(world);
+}
+
+// Small tasks take every bit of room as it comes free; it is kept for the gang all the same.
+TEST_P(Gang, RoomGathersAmongSmallTasks) {
+  Options day = options();
+  day.market = 2;
+  day.halls = {"a"};
+  day.team_max = 400;
+  World world(day);
+  for (int i = 0; i < 30; i++) {
+    UserJob job = plain_job(world, i, 2 + 4 * i, 60, 8, 1);
+    job.body["urgency"] = "urgent";
+    world.submit(job);
+  }
+  UserJob gang = gang_job(world, 90, 40, 7, 20, 2);
+  gang.body["loaner"] = true;
+  gang.body["urgency"] = "normal";
+  const std::string ref = gang.ref;
+  world.submit(gang);
+  world.run_until(420);
+  expect_kept(world);
+  const UserJob& served = world.jobs.at(ref);
+  ASSERT_GE(served.gang_began, 0);
+  EXPECT_LT(served.first_start - served.submit_at, 90);
+}
+
+// Two that each need more than half of all room do not hold half of it each.
+TEST_P(Gang, TwoDoNotWaitForEachOther) {
+  Options day = options();
+  day.market = 1;
+  day.halls = {"a"};
+  day.team_max = 400;
+  World world(day);
+  for (int i = 0; i < 4; i++) {
+    UserJob gang = gang_job(world, 90 + i, 3 + 0.1 * i, 7, 20, 2);
+    gang.body["loaner"] = true;
+    world.submit(gang);
+  }
+  world.run_until(300);
+  expect_all_done(world);
+}
+
+// More than one part's share of the team's limit: it is gathered.
+TEST_P(Gang, TheTeamsLimitIsGathered) {
+  Options day = options();
+  day.team_cpus = 20;
+  day.team_max = 24;  // 8 a part
+  World world(day);
+  for (int i = 0; i < 3; i++) {
+    UserJob gang = gang_job(world, 90 + i, 3 + i, 8, 15, 2);
+    gang.body["owner"] = "red";
+    world.submit(gang);
+  }
+  for (int i = 0; i < 4; i++) world.submit(plain_job(world, i, 3 + 5 * i, 8, 5, 1));
+  world.run_until(300);
+  expect_all_done(world);
+}
+
+// Jobs submitted with a mistake fail everywhere until they are cancelled; neither machines nor others suffer.
+TEST_P(Gang, OneThatFailsEverywhere) {
+  World world(options());
+  add_gangs(world, 3, 20);
+  UserJob bad = gang_job(world, 90, 5, 4, 20, 1);
+  bad.mistaken = true;
+  bad.cancel_at = 120;
+  world.submit(bad);
+  world.run_until(300);
+  expect_kept(world);
+  for (const auto& [ref, job] : world.jobs) EXPECT_TRUE(job.told_done || job.mistaken) << ref;
+}
+
+// Not accepted while a controller of the version before is known to live; then accepted by all.
+TEST_P(Gang, AreAcceptedOnceAllControllersCanRunThem) {
+  Options day = options();
+  day.earlier_version = true;
+  day.next_value_kb = 2;
+  day.next_txn_ops = 4;
+  World world(day);
+  for (int i = 0; i < 6; i++) world.submit(plain_job(world, i, 2 + 2 * i, 8, 20));
+  double accepted_at = 0;
+  world.on_commit = [&](const std::string&, const Json& txn) {
+    for (const Json& change : txn["then"]) {
+      if (change.contains("put") && change["put"] == "gangs" && accepted_at == 0) accepted_at = world.now;
+    }
+  };
+  for (int i = 0; i < 3; i++) world.at(30 + 10 * i, [&world, i] { world.upgrade_node(i, 2); });
+  // (Users submit them only later. A node that is upgraded already says when to come back.)
+  int told_to_wait = 0;
+  world.at(36, [&world, &told_to_wait] {
+    const UserJob early = gang_job(world, 90, 36, 4, 15);
+    world.send("user", {front_of(0), "POST", "/v2/runs", dump_json(early.body), 5},
+               [&told_to_wait](const HttpReply& reply) { told_to_wait = reply.status; });
+  });
+  for (int i = 0; i < 4; i++) world.submit(gang_job(world, 95 + i, 70 + i, 4, 15));
+  world.at(80, [&world] { world.state.lower_limits(2, 4, 20); });
+  world.at(85, [&world] { world.crash_node(some_node(world), 0.3); });
+  world.troubles_end = 100;
+  world.run_until(300);
+  expect_kept(world);
+  EXPECT_EQ(told_to_wait, 503);
+  EXPECT_GT(accepted_at, 60);
+  for (const auto& [ref, job] : world.jobs) {
+    if (job.submit_at > 60) {
+      EXPECT_TRUE(job.told_done) << ref;
+    }
+  }
+}
+
+TEST(GangAdmission, ItsTasksTogetherStayWithinTheTeamsLimit) {
+  JobSpec spec;
+  spec.gang = true;
+  spec.owner = "red";
+  spec.pieces = 6;
+  spec.cores = 8;
+  Settings settings;
+  settings.teams = {{"red", 20, 47, 0, kUnlimited}};
+  const MachineTypes types =
+      *MachineTypes::parse(parse_json(R"({"flavours":[{"name":"c16","cores":16,"memory_gb":64}]})"));
+  EXPECT_EQ(never_runs(spec, settings, types), "beyond the team's limit");
+  settings.teams[0].cpus_max = 48;
+  EXPECT_EQ(never_runs(spec, settings, types), "");
+  settings.teams[0].cpus_max = kUnlimited;
+  EXPECT_EQ(never_runs(spec, settings, types), "");
+  spec.gang = false;
+  settings.teams[0].cpus_max = 8;
+  EXPECT_EQ(never_runs(spec, settings, types), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Gang, ::testing::Range(1, 1 + seeds()));
--- a/tests/sim/collector.hpp
+++ b/tests/sim/collector.hpp
@@ -1,6 +1,8 @@
-// Collects what the nodes of a simulated day write: records by kind of key, and messages between nodes by path.
+// Collects what the nodes of a simulated day write: records by kind of key, and messages between nodes by
+// path.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <string>
 
@@ -37,8 +39,19 @@
     add(messages[call.path],
         {{"request", parse_json(call.body)}, {"status", answer.status}, {"answer", parse_json(answer.body)}});
   }
+  static bool has_new_field(const std::vector<Json>& list, const Json& value) {
+    if (!value.is_object()) return false;
+    for (const auto& [name, item] : value.items()) {
+      const bool known = std::any_of(list.begin(), list.end(),
+                                     [&name = name](const Json& each) { return each.contains(name); });
+      if (!known) return true;
+    }
+    return false;
+  }
   static void add(std::vector<Json>& list, const Json& value) {
-    if (list.size() >= kMost && value.dump().size() < 2 * list.back().dump().size()) return;
+    if (list.size() >= kMost && !has_new_field(list, value) &&
+        value.dump().size() < 2 * list.back().dump().size())
+      return;
     for (const Json& known : list) {
       if (known == value) return;
     }
--- a/tests/sim/days.cpp
+++ b/tests/sim/days.cpp
@@ -68,6 +68,17 @@
   return job;
 }
 
+UserJob gang_job(World& world, int number, double at, int pieces, double run_s, int cores) {
+  UserJob job = plain_job(world, number, at, pieces, run_s, cores);
+  job.body["shape"] = "ensemble";
+  job.body["workload"] = "g";
+  job.body["together"] = true;
+  job.body["loaner"] = false;
+  job.body["snapshot_every_s"] = 10;
+  job.body["snapshot_cost_s"] = 1;
+  return job;
+}
+
 int seeds() {
   const char* const given = std::getenv("SIM_SEEDS");
   return given == nullptr ? 4 : std::max(1, std::atoi(given));
--- a/tests/sim/users.cpp
+++ b/tests/sim/users.cpp
@@ -48,6 +48,8 @@
   const std::string phase = known ? phase_of(reply) : "";
   const auto broken_rule = job.told.take({asked, world_.now, known, phase});
   if (broken_rule) world_.broken(*broken_rule + " (" + ref + ")");
+  if (phase == "running" && job.gang && job.gang_began < 0)
+    world_.broken("told that a gang runs that never started: " + ref);
   if (phase == "done") {
     if (static_cast<int>(job.completed.size()) < job.pieces) world_.broken("not_done: " + ref);
     job.told_done = true;
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -43,6 +43,8 @@
   out.report_s = options.report_s;
   out.lease_s = options.lease_s;
   out.cancel_s = kCancel;
+  out.gang_wait_s = options.gang_wait_s;
+  out.gang_peer_s = options.gang_peer_s;
   out.state_rps = out.next_state_rps = options.state_rps;
   out.state_write_rps = out.next_write_rps = options.write_rps;
   out.txn_ops = options.txn_ops;
@@ -468,11 +470,14 @@
                  {"try_no", task.try_no},
                  {"phase", task.phase}};
     if (task.phase == "exited") item["exit_cause"] = task.cause;
+    if (task.stored) item["stored"] = true;
     pieces.push_back(item);
   }
-  return {{"host", name},         {"address", address}, {"flavour", flavour}, {"hall", hall},
-          {"loaner", loaner},     {"tenure", tenure_},  {"tick", ++tick_},    {"baton", baton_},
-          {"warning_s", nullptr}, {"pieces", pieces}};
+  return {
+      {"host", name},    {"address", address}, {"flavour", flavour},
+      {"hall", hall},    {"loaner", loaner},   {"tenure", tenure_},
+      {"tick", ++tick_}, {"baton", baton_},    {"warning_s", warning_s < 0 ? Json(nullptr) : Json(warning_s)},
+      {"pieces", pieces}};
 }
 
 void Worker::check_lease() {
@@ -493,9 +498,15 @@
   if (!hung) {
     for (Task& task : tasks) {
       if (task.phase == "exited" || world_.now < task.until) continue;
+      const UserJob& job = *task.job;
+      if (job.gang && task.phase != "pulling") continue;  // Gangs plays them
       changed_ = true;
-      if (task.phase == "pulling") {
-        const UserJob& job = *task.job;
+      if (task.phase == "pulling" && job.gang) {
+        images_.insert(job.body["bundle"]);
+        task.phase = "waiting";
+        task.until = world_.now + world_.options.gang_wait_s;
+        world_.on_start(*this, task);
+      } else if (task.phase == "pulling") {
         images_.insert(job.body["bundle"]);
         task.phase = "running";
         const double takes = job.spread_ends > 0 ? job.run_s + job.spread_ends * task.index
@@ -608,6 +619,9 @@
     });
     if (verb == "launch") {
       if (it == tasks.end()) launch(piece, try_no);
+    } else if (it != tasks.end() && verb == "stop" && it->phase != "exited" && !stubborn && it->job->gang) {
+      world_.gangs.stop(*it, order["wind_down_s"].get<double>());
+      changed_ = true;
     } else if (it != tasks.end() && verb == "stop" && it->phase != "exited" && !stubborn) {
       it->phase = "exited";
       it->cause = "halted";
@@ -650,6 +664,7 @@
       state(*this),
       cloud(*this),
       users(*this),
+      gangs(*this),
       nodes(static_cast<std::size_t>(options_in.nodes)) {
   if (options.parts > 0) {
     const Json meta = {{"parts", options.parts}, {"form", kRecordForm}};
@@ -661,6 +676,7 @@
     start_node(i);
   }
   at(1, [this] { check_rules(); });
+  at(1, [this] { gangs.begin(); });
 }
 
 // Responders that are dropped unanswered say 503, and their answers would become events of a world that ends.
@@ -914,6 +930,7 @@
     const Responder responder([this, reply, from, call, copy, front, i](const HttpAnswer& out) {
       if (front) note_size("answer", out.body.size(), kBody);
       watch_answer(from, node_name(i), call, out, copy);
+      if (!front && on_peer_message) on_peer_message(call, out);
       reply({out.status, out.body});
     });
     on_node(i, [node, front, request, responder] {
@@ -942,6 +959,7 @@
   const double cancel = job.cancel_at;
   job.cores = job.body["cores"];
   job.owner = job.body["owner"];
+  job.gang = job.body["shape"] == "ensemble";
   jobs.emplace(ref, std::move(job));
   at(when, [this, ref] { users.submit(ref, now + 60); });
   if (cancel >= 0) {
@@ -954,8 +972,13 @@
 void World::on_start(Worker& worker, const Task& task) {
   starts++;
   UserJob& job = *task.job;
-  if (job.first_start < 0) job.first_start = now;
+  if (job.first_start < 0 && !job.gang) job.first_start = now;
   job.starts[task.index]++;
+  if (job.gang) {
+    if (task.try_no < job.last_attempt)
+      broken("attempt " + std::to_string(task.try_no) + " of " + task.ref + " after a newer one");
+    job.last_attempt = std::max(job.last_attempt, task.try_no);
+  }
   if (job.told_aborted) {
     late_starts++;
     // Who has not heard of it by then has lost its lease.
@@ -1016,9 +1039,39 @@
   in(1, [this] { check_rules(); });
 }
 
+// Machines that are well have room for all its tasks, where they may go.
+bool World::gang_could_run(const UserJob& job) const {
+  std::map<std::string, int> in_hall;
+  double used = 0;
+  for (const auto& [name, worker] : workers) {
+    if (!worker->up()) continue;
+    for (const Task& task : worker->tasks) {
+      if (task.phase == "exited" || task.job->owner != job.owner) continue;
+      used += task.job->cores;
+      if (task.job == &job) return false;
+    }
+    const bool well = !worker->hung && !worker->deaf && !worker->muffled && !worker->mute && !worker->sick &&
+                      worker->warning_s < 0;
+    const bool allowed = (!worker->loaner || job.body["loaner"].get<bool>()) &&
+                         (job.body["hall"].is_null() || job.body["hall"] == worker->hall);
+    if (well && allowed) in_hall[worker->hall] += static_cast<int>(worker->free_cores() / job.cores);
+  }
+  int places = 0;
+  for (const auto& [hall, slots] : in_hall) {
+    if (job.body["together"].get<bool>()) {
+      places = std::max(places, slots);
+    } else {
+      places += job.body["scatter"].get<bool>() ? std::min(slots, (job.pieces + 1) / 2) : slots;
+    }
+  }
+  return places >= job.pieces && used + job.pieces * job.cores <= options.team_max &&
+         static_cast<int>(job.completed.size()) < job.pieces;
+}
+
 // None of its tasks is on a machine, and one has room for it now, under its team's limit? (Where tasks are
 // bound to each other, only while none is done either.)
 bool World::could_run(const UserJob& job) const {
+  if (job.gang) return gang_could_run(job);
   const bool bound = job.body["together"].get<bool>() || job.body["scatter"].get<bool>();
   double used = 0;
   bool room = false;
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -14,6 +14,7 @@
 #include "coordination/node.hpp"
 #include "protocol/settings.hpp"
 #include "sim/answer_history.hpp"
+#include "sim/gangs.hpp"
 #include "sim/users.hpp"
 #include "transport/env.hpp"
 #include "transport/token_bucket.hpp"
@@ -119,6 +120,7 @@
   std::string phase = "pulling";
   std::string cause;
   double until = 0;
+  bool stored = false;  // of a gang: its progress was saved as it was stopped
 };
 
 class Worker {
@@ -129,14 +131,16 @@
   void handle(const std::string& target, const std::string& body,
               const std::function<void(int, Json)>& reply);
   [[nodiscard]] bool on_machine(const Task& task) const {
-    return task.phase == "running" || task.phase == "saving";
+    return task.phase == "running" || task.phase == "saving" || task.phase == "waiting";
   }
+  void note_change() { changed_ = true; }
 
   std::string name, address, flavour, hall;
   bool loaner;
   bool dead = false;
   bool hung = false;
   bool sick = false;
+  double warning_s = -1;  // the cloud takes it away in so long; negative: it does not
   bool deaf = false;      // its reports arrive; answers and commands do not reach it
   bool muffled = false;   // only the answers to its reports are lost; commands arrive
   bool stubborn = false;  // it takes no notice of stops
@@ -206,7 +210,11 @@
   double cores = 0;
   int pieces = 1;
   double run_s = 5;
-  bool mistaken = false;   // submitted with a mistake: its tasks fail on every machine
+  bool gang = false;
+  double progress = 0;             // of a gang, saved
+  double gang_began = -1;          // its last attempt started
+  std::uint64_t last_attempt = 0;  // of a gang: the largest number that reached a machine
+  bool mistaken = false;           // submitted with a mistake: its tasks fail on every machine
   double spread_ends = 0;  // each task takes so much longer than the one before, and no chance comes in
   double submit_at = 0;
   double cancel_at = -1;
@@ -238,6 +246,8 @@
   std::vector<std::string> halls = {"a", "b"};
   double report_s = 1.5;
   double lease_s = 12;
+  double gang_wait_s = 35;
+  double gang_peer_s = 5;
   double team_cpus = 24;
   double team_max = 48;
   double state_rps = 100;
@@ -294,6 +304,7 @@
   }
 
   void on_start(Worker& worker, const Task& task);
+  [[nodiscard]] double base_gang_peer_s() const { return options.gang_peer_s; }
   void on_done(const Task& task);
   [[nodiscard]] std::string summary() const;
 
@@ -304,6 +315,7 @@
   StateService state;
   Cloud cloud;
   Users users;
+  Gangs gangs;
   std::map<std::string, std::unique_ptr<Worker>> workers;
   std::unordered_map<std::string, Worker*> by_address;
   std::map<std::string, UserJob> jobs;
@@ -333,6 +345,8 @@
   std::set<std::string> state_unheard;
   double watch_delay_s = 0;  // answers to watches come up to so much later than other answers
   std::function<void(const std::string& ref)> on_last_done;  // the last task of a job has just completed
+  // Hears of each message between nodes that was answered.
+  std::function<void(const HttpCall& call, const HttpAnswer& answer)> on_peer_message;
   bool hold_commits =
       false;  // transactions with a change wait until this is over, whoever gives up meanwhile
 
@@ -368,6 +382,7 @@
   void check_rules();
   void check_waiting();
   [[nodiscard]] bool could_run(const UserJob& job) const;
+  [[nodiscard]] bool gang_could_run(const UserJob& job) const;
 
   bool over_ = false;
   std::vector<Event> events_;  // a heap
--- a/tests/unit_test.cpp
+++ b/tests/unit_test.cpp
@@ -120,7 +120,8 @@
   EXPECT_TRUE(head2->aborted);
   EXPECT_EQ(job_to_json(head2->spec), job_to_json(head.spec));
 
-  HostRecord host{"10.1.0.2:9000", "g8", "a", true, 3, {{"job-2", 5, 9}, {"job-1", 0, 7}, {"job-2", 6, 10}}, {}};
+  HostRecord host{
+      "10.1.0.2:9000", "g8", "a", true, 3, {{"job-2", 5, 9}, {"job-1", 0, 7}, {"job-2", 6, 10}}, {}};
   const auto host2 = HostRecord::from_json(parse_json(dump_json(host.to_json())));
   ASSERT_TRUE(host2.has_value());
   EXPECT_EQ(host2->to_json(), host.to_json());
@@ -141,30 +142,14 @@
 
 TEST(Submission, EachBadFieldIsNamed) {
   const std::vector<std::pair<std::string, Json>> bad = {
-      {"ref", "x-1"},
-      {"ref", "job-"},
-      {"ref", "job-1x"},
-      {"ref", 7},
-      {"workload", nullptr},
-      {"owner", ""},
-      {"shape", "daemon"},
-      {"urgency", "high"},
-      {"pieces", 0},
-      {"pieces", 100001},
-      {"pieces", 1.5},
-      {"pieces", -1},
-      {"cores", -1.0},
-      {"cores", "8"},
-      {"memory_gb", nullptr},
-      {"pull_gb", false},
-      {"flavours", "g8"},
-      {"flavours", {1}},
-      {"hall", 3},
-      {"together", 1},
-      {"loaner", nullptr},
-      {"guess_s", -2},
-      {"due_s", "soon"},
-      {"snapshot_every_s", -1},
+      {"ref", "x-1"},      {"ref", "job-"},       {"ref", "job-1x"},
+      {"ref", 7},          {"workload", nullptr}, {"owner", ""},
+      {"shape", "daemon"}, {"urgency", "high"},   {"pieces", 0},
+      {"pieces", 100001},  {"pieces", 1.5},       {"pieces", -1},
+      {"cores", -1.0},     {"cores", "8"},        {"memory_gb", nullptr},
+      {"pull_gb", false},  {"flavours", "g8"},    {"flavours", {1}},
+      {"hall", 3},         {"together", 1},       {"loaner", nullptr},
+      {"guess_s", -2},     {"due_s", "soon"},     {"snapshot_every_s", -1},
   };
   for (const auto& [field, value] : bad) {
     Json job = good_job();
--- /dev/null
+++ b/tests/versions_test.cpp
@@ -0,0 +1,207 @@
+// The version in production and this one run side by side: what it wrote is read here, and what this one
+// writes for arrays has all of its fields, of the same kind (tests/samples/README.md).
+#include <gtest/gtest.h>
+
+#include <fstream>
+
+#include "bookkeeping/records.hpp"
+#include "coordination/summary.hpp"
+#include "sim/checks.hpp"
+#include "sim/collector.hpp"
+#include "sim/days.hpp"
+#include "sim/world.hpp"
+
+using namespace mothslip;
+using namespace mothslip::sim;
+
+namespace {
+
+Json samples() {
+  std::ifstream in(std::string(SAMPLES_DIR) + "/production.json");
+  return Json::parse(in);
+}
+
+// All of `wanted`, and perhaps more.
+bool covers(const Json& value, const Json& wanted) {
+  if (wanted.is_object()) {
+    if (!value.is_object()) return false;
+    for (const auto& [name, item] : wanted.items()) {
+      if (!value.contains(name) || !covers(value[name], item)) return false;
+    }
+    return true;
+  }
+  return value == wanted;
+}
+
+// Names of jobs, machines and the like stand for themselves in keys.
+std::string field_of(const std::string& name) {
+  if (name.rfind("host-", 0) == 0) return "HOST";
+  const bool job = name.rfind("job-", 0) == 0 || name.rfind("w/b/", 0) == 0;
+  return job ? "JOB" : name;
+}
+
+const char* kind_of(const Json& value) {
+  if (value.is_boolean()) return "flag";
+  if (value.is_number()) return "number";
+  if (value.is_string()) return "text";
+  if (value.is_null()) return "null";
+  return "list";
+}
+
+// The fields of all values, with the kinds of what they hold.
+void add_shape(const Json& value, const std::string& at,
+               std::map<std::string, std::set<std::string>>& shape) {
+  if (value.is_object()) {
+    for (const auto& [name, item] : value.items()) add_shape(item, at + "." + field_of(name), shape);
+  } else if (value.is_array()) {
+    shape[at].insert("list");
+    for (const Json& item : value) add_shape(item, at + "[]", shape);
+  } else {
+    shape[at].insert(kind_of(value));
+  }
+}
+
+std::map<std::string, std::set<std::string>> shape_of(const Json& values) {
+  std::map<std::string, std::set<std::string>> out;
+  for (const Json& value : values) add_shape(value, "", out);
+  return out;
+}
+
+// A day of arrays that brings about every kind of record and of message.
+void add_day(World& world) {
+  add_jobs(world, 2, 60);
+  for (int i = 0; i < 4; i++) world.submit(plain_job(world, 40 + i, 5 + i, 40, 30, 1));
+  for (int i = 0; i < 3; i++) {
+    UserJob job = plain_job(world, 50 + i, 20 + i, 30, 40, 4);
+    job.cancel_at = 50 + 6 * i;
+    world.submit(job);
+  }
+  world.at(45, [&world] { world.cut_from_workers(1); });
+  world.at(70, [&world] { world.mend_nodes(); });
+}
+
+}  // namespace
+
+TEST(Versions, RecordsOfTheOneInProductionAreReadAndKept) {
+  const Json records = samples()["records"];
+  for (const Json& value : records["w/j"]) {
+    const auto head = HeadRecord::from_json(value);
+    ASSERT_TRUE(head.has_value()) << value;
+    EXPECT_EQ(head->to_json(), value);
+    EXPECT_FALSE(head->spec.gang);
+  }
+  for (const Json& value : records["w/b"]) {
+    const auto block = BlockRecord::from_json(value);
+    ASSERT_TRUE(block.has_value()) << value;
+    EXPECT_EQ(block->to_json(), value);
+  }
+  for (const Json& value : records["h"]) {
+    const auto page = PageRecord::from_json(value);
+    ASSERT_TRUE(page.has_value()) << value;
+    EXPECT_EQ(page->to_json(), value);
+  }
+  for (const Json& value : records["types"]) {
+    const auto types = MachineTypes::parse(value);
+    ASSERT_TRUE(types.has_value()) << value;
+    EXPECT_EQ(types->to_json(), value);
+  }
+  for (const Json& value : records["d"])
+    EXPECT_TRUE(RangeSet::from_text(value["done"].get<std::string>(), 100000).has_value()) << value;
+}
+
+TEST(Versions, MessagesOfTheOneInProductionAreReadAndKept) {
+  const Json messages = samples()["messages"];
+  for (const Json& message : messages["/peer/summary"]) {
+    const auto summary = PartSummary::from_json(message["request"]["body"]);
+    ASSERT_TRUE(summary.has_value()) << message;
+    EXPECT_TRUE(covers(summary->to_json(), message["request"]["body"])) << summary->to_json();
+    if (message["status"] != 200) continue;
+    EXPECT_TRUE(covers(FleetOrders::from_json(message["answer"]).to_json(), message["answer"])) << message;
+  }
+  for (const Json& message : messages["/peer/hello"])
+    EXPECT_TRUE(parse_report(message["request"]).has_value()) << message;
+}
+
+// Every field that production writes for arrays is written here too, and holds the same kind of value.
+TEST(Versions, WhatIsWrittenForArraysHasTheSameFields) {
+  set_up_log();
+  Options options;
+  options.seed = 7;
+  World world(options);
+  Collector collector(world);
+  add_day(world);
+  world.run_until(330);
+  expect_kept(world);
+  const Json old = samples();
+  const auto expect_same = [](const std::string& what, const Json& before, const Json& now) {
+    const auto shape = shape_of(now);
+    for (const auto& [field, kinds] : shape_of(before)) {
+      ASSERT_TRUE(shape.count(field) > 0) << what << " lacks " << field;
+      for (const std::string& kind : kinds)
+        EXPECT_TRUE(shape.at(field).count(kind) > 0) << what << field << " is no " << kind;
+    }
+  };
+  for (const auto& [kind, values] : old["records"].items())
+    expect_same(kind, values, collector.records[kind]);
+  for (const auto& [path, values] : old["messages"].items())
+    expect_same(path, values, collector.messages[path]);
+}
+
+namespace {
+
+class Upgrade : public ::testing::TestWithParam<int> {
+ protected:
+  void SetUp() override { set_up_log(); }
+  static Options options() {
+    Options out;
+    out.seed = static_cast<std::uint64_t>(GetParam());
+    out.earlier_version = true;
+    out.next_value_kb = 2;
+    out.next_txn_ops = 4;
+    out.next_write_rps = 20;
+    out.market = 6;
+    out.team_cpus = 100;
+    out.team_max = 300;
+    return out;
+  }
+};
+
+}  // namespace
+
+// Parts, blocks, quota shares, relayed reports and cancellations go to and fro between the versions, while
+// processes of either end, come back as they were, or are cut off.
+TEST_P(Upgrade, TroublesInTheMiddleOfIt) {
+  World world(options());
+  add_jobs(world, 2, 100);
+  for (int i = 0; i < 6; i++) world.submit(plain_job(world, 40 + i, 5 + 12 * i, 40, 25, 1));
+  world.at(40, [&world] { world.upgrade_node(0, 2); });
+  world.at(46, [&world] { world.crash_node(1, 0.3); });  // comes back old
+  world.at(50, [&world] { world.cut_node(0, true); });
+  world.at(62, [&world] { world.mend_nodes(); });
+  world.at(66, [&world] { world.cut_from_workers(2); });
+  world.at(75, [&world] { world.upgrade_node(1, 0.3); });
+  world.at(80, [&world] {
+    for (int i = 0; i < 3; i++) world.crash_node(i, 0.3 + i);  // two new ones, one old
+  });
+  world.at(90, [&world] { world.mend_nodes(); });
+  world.at(95, [&world] { world.upgrade_node(2, 8); });
+  world.at(100, [&world] { world.state.lower_limits(2, 4, 20); });
+  world.troubles_end = 115;
+  world.run_until(360);
+  expect_kept(world);
+  EXPECT_EQ(world.state.too_large, 0);
+}
+
+// Stopped half way: both versions serve for as long as it takes.
+TEST_P(Upgrade, StoppedHalfWay) {
+  World world(options());
+  add_jobs(world, 2, 140);
+  world.at(40, [&world] { world.upgrade_node(1, 2); });
+  world.at(70, [&world] { world.crash_node(1, 9); });
+  world.at(110, [&world] { world.crash_node(0, 9); });
+  world.troubles_end = 125;
+  world.run_until(360);
+  expect_kept(world);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Upgrade, ::testing::Range(1, 1 + seeds()));
