--- a/src/bookkeeping/ledger.hpp
+++ b/src/bookkeeping/ledger.hpp
@@ -130,6 +130,11 @@
     }
     return out;
   }
+  // (The tasks of an array fail one by one. Taken for a gang, an array of which one had failed was placed and
+  // freed again, over and over, and never launched.)
+  void fail_attempt() {
+    if (is_gang()) attempt.failed = true;
+  }
   // All its tasks run, as far as is known here.
   [[nodiscard]] bool gang_runs() const {
     return attempt.started && !attempt.failed && placed == head.spec.pieces;
--- a/src/coordination/part.cpp
+++ b/src/coordination/part.cpp
@@ -362,7 +362,7 @@
     return;
   }
   double delay = 0;
-  if (cause == ExitCause::kError || cause == ExitCause::kOther) job->attempt.failed = true;
+  if (cause == ExitCause::kError || cause == ExitCause::kOther) job->fail_attempt();
   if (cause == ExitCause::kError) {
     counters_.errors++;
     job->error_streak++;
@@ -396,7 +396,7 @@
     spdlog::info("{} failed on {} (try {})", piece_name(job->spec().ref, placement.index), machine.name,
                  placement.try_no);
   } else if (cause == ExitCause::kMatesGone || cause == ExitCause::kAlone) {
-    job->attempt.failed = true;  // neither the machine's fault nor the job's
+    job->fail_attempt();  // neither the machine's fault nor the job's
   } else if (cause != ExitCause::kHalted) {
     spdlog::info("{} refused by {}: cause {}", piece_name(job->spec().ref, placement.index), machine.name,
                  static_cast<int>(cause));
--- a/src/coordination/part.hpp
+++ b/src/coordination/part.hpp
@@ -267,7 +267,9 @@
   [[nodiscard]] std::size_t page_limit() const;
   void pages_written(const PageCommit& commit, std::uint64_t epoch);
   bool pages_refused(const PageCommit& commit, const std::vector<std::string>& failed);
-  [[nodiscard]] double page_gap() const;
+  [[nodiscard]] double page_gap(std::size_t changes) const;
+  [[nodiscard]] bool notes_due();
+  [[nodiscard]] bool can_note(const Job& job) const;
   Placement* find_placement(const std::string& machine, std::uint64_t try_no, int index);
   void folded(const JobPtr& job, const std::string& name, const RangeSet& done);
   [[nodiscard]] std::vector<JobPtr> jobs_to_end() const;
--- a/src/coordination/part_journal.cpp
+++ b/src/coordination/part_journal.cpp
@@ -10,9 +10,9 @@
 namespace mothslip {
 
 namespace {
-constexpr double kPageFill = 0.75;      // of the value size
+constexpr double kPageFill = 0.95;      // of the value size
 constexpr double kSplitFill = 0.97;     // likewise, where a page of larger limits is split
-constexpr double kPageShare = 0.45;     // of the part's share of changes, for the journal
+constexpr double kPageShare = 0.7;      // of the part's share of changes, for the journal
 constexpr std::size_t kPageFrame = 20;  // bytes of an empty page
 
 // Upper bounds for the text of a machine's entry and of one placement in it.
@@ -20,7 +20,12 @@
   return 70 + machine.name.size() + machine.record.address.size() + machine.record.flavour.size() +
          machine.record.hall.size();
 }
-std::size_t placement_bytes(const Placement& placement) { return 34 + placement.job->spec().ref.size(); }
+std::size_t placement_bytes(const Placement& placement) {
+  constexpr std::size_t kFrame = 12;  // with the index
+  const std::size_t attempt = std::to_string(placement.try_no).size();
+  // A gang's attempt may have to be named once more, as being stopped.
+  return kFrame + placement.job->spec().ref.size() + attempt * (placement.job->is_gang() ? 2 : 1);
+}
 std::size_t note_bytes(const std::string& name, const RangeSet& done) {
   return name.size() + 8 + done.text_bytes();
 }
@@ -77,20 +82,38 @@
 
 // The journal is written at most so often that the part keeps to its share of the changes: sooner while
 // the budget is full (a quiet day), with more in each write while it is not.
-double Part::page_gap() const {
+double Part::page_gap(std::size_t changes) const {
   const double share = ctx_.state->write_rate() / ctx_.parts;
-  const double gap = 1 / std::max(0.1, kPageShare * share);
+  const double gap = static_cast<double>(changes) / std::max(0.1, kPageShare * share);
   return ctx_.state->writes_left() > 0.6 ? gap / 4 : gap;
 }
 
 std::size_t Part::page_limit() const { return static_cast<std::size_t>(kPageFill * value_bytes_); }
 
+// Completions that the job's own record, or its ending, is about to hold need no write here. (Written all the
+// same, such pages used up the changes that those records were waiting for: with small pages a part wrote its
+// journal for minutes and did nothing else.)
+bool Part::notes_due() {
+  const double now = ctx_.env->now();
+  if (notes_since_ == 0 || now - notes_since_ < kNoteDelay) return false;
+  if (std::any_of(jobs_.begin(), jobs_.end(), [this](const auto& item) { return can_note(*item.second); }))
+    return true;
+  notes_since_ = now;
+  return false;
+}
+
+bool Part::can_note(const Job& job) const {
+  if (job.unsaved.empty() || job.finishing || job.head.aborted) return false;
+  if (job.complete() && (job.borrowed() || job.lent_all_complete())) return false;  // its ending says it all
+  return !job.fold_due && !job.progress_inflight;
+}
+
 bool Part::commit_pages() {
   if (inflight_[kPageSlot] > 0) return false;
   const double now = ctx_.env->now();
   const bool dirty =
       std::any_of(pages_.begin(), pages_.end(), [](const auto& item) { return item.second.dirty; });
-  const bool notes = notes_since_ != 0 && now - notes_since_ >= kNoteDelay;
+  const bool notes = notes_due();
   if (!fresh_ && !dirty && !notes && new_blocks_.empty()) return false;
   if (now < next_pages_at_) {
     if (!pages_timer_) {
@@ -156,7 +179,7 @@
       }
     }
   }
-  next_pages_at_ = ctx_.env->now() + page_gap();
+  next_pages_at_ = ctx_.env->now() + page_gap(commit.changes());
   counters_.pages++;
   counters_.page_changes += commit.changes();
   const auto shared = std::make_shared<PageCommit>(std::move(commit));
@@ -402,10 +425,8 @@
   const std::size_t limit = page_limit();
   bool left = false;
   for (const auto& [name, job] : jobs_) {
-    if (job->unsaved.empty() || job->finishing || job->head.aborted) continue;
-    if (job->complete() && (job->borrowed() || job->lent_all_complete())) continue;  // its ending says it all
-    if (job->fold_due || job->progress_inflight) {
-      left = true;
+    if (!can_note(*job)) {
+      left |= !job->unsaved.empty() && (job->fold_due || job->progress_inflight);
       continue;
     }
     const std::size_t needs = note_bytes(name, job->unsaved) + 1;
@@ -459,7 +480,8 @@
   const std::size_t enough = 2 + 2 * total / std::max<std::size_t>(1, limit);
   if (emptiest == 0 || pages_.size() - commit.removes.size() <= enough || commit.changes() >= commit.most)
     return;
-  if (pages_[emptiest].dirty || commit.bytes[kNewest] + least > limit) return;
+  // (Moving much would only fill the newest and have it turned.)
+  if (pages_[emptiest].dirty || least > limit / 3 || commit.bytes[kNewest] + least > limit) return;
   for (auto& [name, machine] : machines_) {
     for (Placement& placement : machine->placements) {
       if (placement.page != emptiest) continue;
--- a/tests/gang_test.cpp
+++ b/tests/gang_test.cpp
@@ -426,6 +426,43 @@
   }
 }
 
+// Not a gang: the failure of one task says nothing of the others.
+TEST_P(Gang, AnArrayGoesOnWhenSomeOfItsTasksFail) {
+  Options day = options();
+  day.loss = 0;
+  World world(day);
+  UserJob job = plain_job(world, 1, 3, 90, 25, 2);
+  const std::string ref = job.ref;
+  world.submit(job);
+  world.at(22, [&world] {
+    Worker* busiest = nullptr;
+    for (auto& [name, worker] : world.workers) {
+      if (busiest == nullptr || worker->tasks.size() > busiest->tasks.size()) busiest = worker.get();
+    }
+    busiest->sick = true;
+  });
+  world.at(26, [&world] {
+    for (auto& [name, worker] : world.workers) worker->sick = false;
+  });
+  world.troubles_end = 60;
+  world.run_until(200);
+  expect_kept(world);
+  EXPECT_TRUE(world.jobs.at(ref).told_done);
+  int starts = 0;
+  for (const auto& [index, count] : world.jobs.at(ref).starts) starts += count;
+  EXPECT_LE(starts, 90 + 16);  // two rounds of failures on a machine that holds eight
+}
+
+TEST(GangAttempt, AnArrayHasNone) {
+  Job array;
+  array.fail_attempt();
+  EXPECT_FALSE(array.attempt.failed);
+  Job gang;
+  gang.head.spec.gang = true;
+  gang.fail_attempt();
+  EXPECT_TRUE(gang.attempt.failed);
+}
+
 TEST(GangAdmission, ItsTasksTogetherStayWithinTheTeamsLimit) {
   JobSpec spec;
   spec.gang = true;
