--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -843,7 +843,7 @@
     });
   }
   in(delay, [this, from, call, finish, delivered] {
-    *delivered = true;
+    *delivered = is_up(call.destination);
     deliver(from, call, [this, finish, delivered](const HttpReply& answer) {
       *delivered = answer.status != 421 && answer.status != 503;
       if (uniform(0, 1) < options.loss) return;  // executed, but the answer is lost
@@ -852,6 +852,15 @@
   });
 }
 
+// False for a node whose process has ended.
+bool World::is_up(const std::string& address) const {
+  for (int i = 0; i < options.nodes; i++) {
+    if (address == front_of(i) || address == back_of(i))
+      return nodes[static_cast<std::size_t>(i)].node != nullptr;
+  }
+  return true;
+}
+
 // Open watches of a node that the state service refuses wait, as in an outage.
 void World::answer_unrefused(const std::string& node, std::function<void()> answer) {
   if (state_refuses.count(node) == 0) return answer();
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -376,6 +376,7 @@
   // Runs it now, or when the node goes on; not at all if the process has ended since.
   void on_node(int index, std::function<void()> action);
   void deliver(const std::string& from, const HttpCall& call, const std::function<void(HttpReply)>& reply);
+  [[nodiscard]] bool is_up(const std::string& address) const;
   void answer_unrefused(const std::string& node, std::function<void()> answer);
   void watch_answer(const std::string& from, const std::string& node, const HttpCall& call,
                     const HttpAnswer& out, bool copy);
