--- a/src/coordination/part_journal.cpp
+++ b/src/coordination/part_journal.cpp
@@ -597,7 +597,7 @@
   for (const int number : commit.puts) {
     // (Those that were split may be too large again: the next write finds out.)
     if (commit.created.count(number) == 0)
-      pages_[number].oversized |= page_bytes(number) > kSplitFill * value_bytes_;
+      pages_[number].oversized |= static_cast<double>(page_bytes(number)) > kSplitFill * value_bytes_;
   }
   pages_[kNewest].dirty = true;
   fresh_ = true;
--- a/src/coordination/part_load.cpp
+++ b/src/coordination/part_load.cpp
@@ -86,7 +86,7 @@
                        }
                        Page& page = pages_[number];
                        page.stamp = item.stamp;
-                       page.oversized = dump_json(item.data).size() > value_bytes_;
+                       page.oversized = static_cast<double>(dump_json(item.data).size()) > value_bytes_;
                        read.emplace_back(number, std::move(*record));
                      }
                      // Completions first: what is done is placed nowhere, whatever a page still says.
--- a/src/coordination/part_progress.cpp
+++ b/src/coordination/part_progress.cpp
@@ -54,7 +54,7 @@
     return job.done;
   }
   const int number = longest_part(job, main);
-  const RangeSet slice = job.done.slice(number * kTasksPerPart, (number + 1) * kTasksPerPart);
+  RangeSet slice = job.done.slice(number * kTasksPerPart, (number + 1) * kTasksPerPart);
   const auto known = job.progress_parts.find(number);
   txn.guard(keys::progress_part(id_, ref, number),
             known == job.progress_parts.end() ? 0 : known->second.revision);
--- a/src/coordination/user_api.cpp
+++ b/src/coordination/user_api.cpp
@@ -152,8 +152,8 @@
   head.spec = spec;
   head.submitted = ctx_.env->wall();
   // A long list of machine types, most of them unknown here, must not keep the job from being recorded.
-  if (dump_json(head.to_json()).size() > kHeadFill * ctx_.settings->value_kb * 1024)
-    keep_known_flavours(head.spec, *ctx_.types);
+  const auto bytes = static_cast<double>(dump_json(head.to_json()).size());
+  if (bytes > kHeadFill * ctx_.settings->value_kb * 1024) keep_known_flavours(head.spec, *ctx_.types);
   Transaction txn;
   txn.guard(keys::head(part, ref), 0);
   txn.guard(keys::ending(part, ref), 0);
--- a/tests/gang_test.cpp
+++ b/tests/gang_test.cpp
@@ -439,6 +439,7 @@
     for (auto& [name, worker] : world.workers) {
       if (busiest == nullptr || worker->tasks.size() > busiest->tasks.size()) busiest = worker.get();
     }
+    ASSERT_NE(busiest, nullptr);
     busiest->sick = true;
   });
   world.at(26, [&world] {
