--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -32,6 +32,7 @@
 constexpr double kBestEffortStart = 120.0;       // machines are rented for best-effort work that waits longer
 constexpr std::size_t kRentalFrame = 40;         // bytes of a rental's record without its requests
 constexpr std::size_t kRentalRequestFrame = 60;  // and of a request without its names
+constexpr double kOrdinaryFall = 60.0;   // seconds
 constexpr double kGangAge = 2.0;                 // a gang that has waited so long gets machines of its own
 constexpr double kGangRentEvery = 2.5;           // by then it is known to which parts those just rented fall
 constexpr int kGangRent = 8;                     // at once
@@ -105,7 +106,7 @@
     double squares = 0;
     for (const auto& [part, told] : summaries_) squares += told.summary.squares;
     follow(squares_, squares);
-    follow_ordinary_use(follow);
+    follow_ordinary_use(now - last_step_);
     judge();
     send_returns();
     plan();
@@ -125,7 +126,9 @@
   ctx_.env->after(kStep, alive([this] { step(); }));
 }
 
-void Fleet::follow_ordinary_use(const std::function<void(double&, double)>& follow) {
+// Ordinary machines take long to boot, and gangs can start nowhere else: a rise is followed at once, a fall
+// slowly.
+void Fleet::follow_ordinary_use(double step_s) {
   OrdinaryUse now;
   for (const auto& [part, told] : summaries_) {
     const OrdinaryUse& use = told.summary.ordinary;
@@ -134,6 +137,9 @@
     for (std::size_t r = 0; r < now.largest.size(); r++)
       now.largest[r] = std::max(now.largest[r], use.largest[r]);
   }
+  const auto follow = [step_s](double& known, double fresh) {
+    known = std::max(fresh, known + (fresh - known) * std::min(1.0, step_s / kOrdinaryFall));
+  };
   follow(ordinary_.cores, now.cores);
   follow(ordinary_.squares, now.squares);
   for (std::size_t r = 0; r < now.largest.size(); r++) {
--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -4,7 +4,6 @@
 // used for another; a new owner repeats the recorded calls to learn what they brought.
 #pragma once
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -80,7 +79,7 @@
   [[nodiscard]] bool within_limit(const DemandSummary& demand) const;
   void judge();
   void plan();
-  void follow_ordinary_use(const std::function<void(double&, double)>& follow);
+  void follow_ordinary_use(double step_s);
   [[nodiscard]] double ordinary_spare() const;
   void keep_ordinary(const std::vector<std::string>& names, const std::vector<FleetMachine>& machines,
                      const std::vector<FleetType>& types);
