--- a/src/coordination/part.cpp
+++ b/src/coordination/part.cpp
@@ -19,8 +19,8 @@
 constexpr double kLeaseMargin = 1.0;
 constexpr double kDrift = 0.002;
 constexpr int kUnheard = 3;  // launches sent in vain, one report after the other: not a lost answer
-constexpr std::size_t kReturned = 1000;  // remembered
-constexpr std::size_t kMaxEarly = 2000;  // reports that wait while a part loads: one a machine
+constexpr std::size_t kReturned = 10000;  // remembered
+constexpr std::size_t kMaxEarly = 10000;  // reports that wait while a part loads: one a machine
 constexpr double kDirectSeconds = 3.0;
 // So long a user waits for a cancellation; the next try finds it made.
 constexpr double kCancelPatience = 2.0;
