--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -128,7 +128,10 @@
       bytes += needs;
       records.back().push_back(type);
     }
-    if (records.size() > static_cast<std::size_t>(settings_.txn_ops)) {
+    const bool too_large = std::any_of(records.begin(), records.end(), [most_bytes](const Json& record) {
+      return dump_json(record).size() + kFrame > most_bytes;
+    });
+    if (too_large || records.size() > static_cast<std::size_t>(settings_.txn_ops)) {
       spdlog::warn("too many machine types to be recorded: nodes that start ask the cloud");
       return;
     }
--- a/tests/gang_test.cpp
+++ b/tests/gang_test.cpp
@@ -223,6 +223,38 @@
   EXPECT_TRUE(ended);
 }
 
+// The part is sent home, and the limits of the state service fall, while the gang is being stopped.
+TEST_P(Gang, ThePartIsSentHomeInTheMiddleOfAStop) {
+  Options day = options();
+  day.market = 12;
+  day.next_value_kb = 2;
+  day.next_txn_ops = 4;
+  World world(day);
+  const UserJob job = gang_job(world, 90, 3, 8, 80, 4);
+  world.submit(job);
+  add_gangs(world, 3, 60);
+  // Its home is away, and comes back: 15 s later the part is sent home.
+  const int home = part_of(job.ref, world.options.nodes);
+  world.at(50, [&world, home] { world.crash_node(home, 5); });
+  bool met = false;
+  world.on_commit = [&](const std::string&, const Json& txn) {
+    for (const Json& change : txn["then"]) {
+      const bool released = change.contains("delete") && change["delete"] == keys::part(home);
+      if (!released || met) continue;
+      met = true;
+      world.in(0, [&world] {
+        if (Worker* worker = find_member(world, "running")) take_away(world, *worker, 15);
+        world.state.lower_limits(2, 4, world.options.write_rps);
+      });
+    }
+  };
+  world.troubles_end = 110;
+  world.run_until(380);
+  expect_all_done(world);
+  EXPECT_TRUE(met);
+  EXPECT_EQ(world.state.too_large, 0);
+}
+
 // Between the durable write and the launches, and with the answer to that write lost.
 TEST_P(Gang, TheOwnerEndsAfterTheWriteThatPlacesThem) {
   World world(options());
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -188,6 +188,59 @@
   EXPECT_GT(kept.size(), done.size());
 }
 
+// More kinds of machine than one record of a rental can name are asked for in several steps.
+TEST(LimitsOfRecords, RentalsOfManyKinds) {
+  set_up_log();
+  Options day;
+  day.loss = 0;
+  day.market = 1;
+  day.halls.clear();
+  for (int i = 0; i < 30; i++) day.halls.push_back("hall-with-a-name-of-some-length-" + std::to_string(i));
+  day.team_max = 2000;
+  day.next_value_kb = 1;
+  day.next_txn_ops = 4;
+  day.cloud_rps = 50;
+  World world(day);
+  world.state.lower_limits(1, 4, day.write_rps);
+  for (int i = 0; i < 4; i++) world.submit(plain_job(world, i, 3, 80, 15, 4));
+  std::size_t largest = 0;
+  world.on_commit = [&largest](const std::string&, const Json& txn) {
+    for (const Json& change : txn["then"]) {
+      if (change.contains("put") && change["put"].get<std::string>().rfind(keys::kRentals, 0) == 0)
+        largest = std::max(largest, change["data"].dump().size());
+    }
+  };
+  world.run_until(240);
+  expect_kept(world);
+  EXPECT_GT(largest, 600u);
+  EXPECT_LE(largest, 1024u);
+  EXPECT_EQ(world.state.too_large, 0);
+}
+
+// The machine types fit no single record: a node that starts while the cloud is away finds them in several.
+TEST(LimitsOfRecords, MachineTypesInSeveralRecords) {
+  set_up_log();
+  Options day;
+  day.loss = 0;
+  day.halls.clear();
+  for (int i = 0; i < 20; i++) day.halls.push_back("hall-with-a-name-of-some-length-" + std::to_string(i));
+  day.next_value_kb = 1;
+  day.next_txn_ops = 4;
+  World world(day);
+  world.state.lower_limits(1, 4, day.write_rps);
+  world.submit(plain_job(world, 1, 3, 8, 15, 4));
+  world.at(40, [&world] {
+    world.cloud.outage = true;
+    for (int i = 0; i < world.options.nodes; i++) world.crash_node(i, 0.3);
+  });
+  world.submit(plain_job(world, 2, 50, 4, 5, 1));
+  world.run_until(140);
+  expect_kept(world);
+  EXPECT_EQ(world.state.values().count(keys::kTypes), 0u);
+  EXPECT_EQ(world.state.too_large, 0);
+  for (const auto& [ref, job] : world.jobs) EXPECT_TRUE(job.told_done) << ref;
+}
+
 // A list of machine types and a job's list of allowed types that fit no record.
 TEST(LimitsOfRecords, LongListsOfMachineTypes) {
   JobSpec spec;
