--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -1054,17 +1054,27 @@
   in(1, [this] { check_rules(); });
 }
 
-// Machines that are well have room for all its tasks, where they may go.
-bool World::gang_could_run(const UserJob& job) const {
-  std::map<std::string, int> in_hall;
+// What its team's tasks take, while none of its own is on a machine.
+std::optional<double> World::cores_of_team_without(const UserJob& job) const {
   double used = 0;
   for (const auto& [name, worker] : workers) {
     if (!worker->up()) continue;
     for (const Task& task : worker->tasks) {
       if (task.phase == "exited" || task.job->owner != job.owner) continue;
+      if (task.job == &job) return std::nullopt;
       used += task.job->cores;
-      if (task.job == &job) return false;
     }
+  }
+  return used;
+}
+
+// Machines that are well have room for all its tasks, where they may go.
+bool World::gang_could_run(const UserJob& job) const {
+  const auto used = cores_of_team_without(job);
+  if (!used) return false;
+  std::map<std::string, int> in_hall;
+  for (const auto& [name, worker] : workers) {
+    if (!worker->up()) continue;
     const bool well = !worker->hung && !worker->deaf && !worker->muffled && !worker->mute && !worker->sick &&
                       worker->warning_s < 0;
     const bool allowed = (!worker->loaner || job.body["loaner"].get<bool>()) &&
@@ -1079,7 +1089,7 @@
       places += job.body["scatter"].get<bool>() ? std::min(slots, (job.pieces + 1) / 2) : slots;
     }
   }
-  return places >= job.pieces && used + job.pieces * job.cores <= options.team_max &&
+  return places >= job.pieces && *used + job.pieces * job.cores <= options.team_max &&
          static_cast<int>(job.completed.size()) < job.pieces;
 }
 
@@ -1088,15 +1098,11 @@
 bool World::could_run(const UserJob& job) const {
   if (job.gang) return gang_could_run(job);
   const bool bound = job.body["together"].get<bool>() || job.body["scatter"].get<bool>();
-  double used = 0;
+  const auto used = cores_of_team_without(job);
+  if (!used) return false;
   bool room = false;
   for (const auto& [name, worker] : workers) {
     if (!worker->up()) continue;
-    for (const Task& task : worker->tasks) {
-      if (task.phase == "exited" || task.job->owner != job.owner) continue;
-      used += task.job->cores;
-      if (task.job == &job) return false;
-    }
     const bool well = !worker->hung && !worker->deaf && !worker->muffled && !worker->mute && !worker->sick;
     const bool fits = worker->free_cores() >= job.cores &&
                       (!worker->loaner || job.body["loaner"].get<bool>()) &&
@@ -1104,7 +1110,7 @@
     room = room || (well && fits);
   }
   if (bound && !job.completed.empty()) return false;
-  return room && used + job.cores <= options.team_max && static_cast<int>(job.completed.size()) < job.pieces;
+  return room && *used + job.cores <= options.team_max && static_cast<int>(job.completed.size()) < job.pieces;
 }
 
 // Once the troubles are over, no job waits for 90 s while a machine has room for it.
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -383,6 +384,7 @@
   void check_rules();
   void check_waiting();
   [[nodiscard]] bool could_run(const UserJob& job) const;
+  [[nodiscard]] std::optional<double> cores_of_team_without(const UserJob& job) const;
   [[nodiscard]] bool gang_could_run(const UserJob& job) const;
 
   bool over_ = false;
