--- a/src/transport/event_env.cpp
+++ b/src/transport/event_env.cpp
@@ -82,6 +82,8 @@
 
 void EventEnv::run() { event_base_loop(base_, EVLOOP_NO_EXIT_ON_EMPTY); }
 
+void EventEnv::stop() { event_base_loopbreak(base_); }
+
 double EventEnv::now() const {
   return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
 }
--- a/src/transport/event_env.hpp
+++ b/src/transport/event_env.hpp
@@ -27,6 +27,8 @@
 
   [[nodiscard]] event_base* base() const { return base_; }
   void run();
+  // Ends run() once what is being handled has been.
+  void stop();
 
   [[nodiscard]] double now() const override;
   [[nodiscard]] double wall() const override;
--- a/src/transport/http.hpp
+++ b/src/transport/http.hpp
@@ -12,6 +12,7 @@
   std::string method;
   std::string path;  // without the query
   std::string body;
+  std::string query = {};  // what follows the question mark
 };
 
 struct HttpAnswer {
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -70,6 +70,8 @@
   const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
   const char* path = uri == nullptr ? nullptr : evhttp_uri_get_path(uri);
   in.path = path == nullptr ? "" : path;
+  const char* query = uri == nullptr ? nullptr : evhttp_uri_get_query(uri);
+  in.query = query == nullptr ? "" : query;
   // The sockets that are left are for the state service, the other nodes and health checks.
   if (server->most_connections_ > 0 && server->open_.size() > server->most_connections_) {
     evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
--- /dev/null
+++ b/tests/loopback/real_cluster.hpp
@@ -0,0 +1,58 @@
+// Real mothslip processes on loopback, whose state service, cloud, workers and users are those of the
+// simulated cluster, served over HTTP in real time. Its rules are checked as in simulated days.
+#pragma once
+
+#include <sys/types.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "sim/world.hpp"
+#include "transport/event_env.hpp"
+#include "transport/http_server.hpp"
+
+namespace mothslip::loopback {
+
+class RealCluster {
+ public:
+  // `directory`: for settings files and the processes' logs.
+  RealCluster(const sim::Options& options, std::string directory);
+  ~RealCluster();
+  RealCluster(const RealCluster&) = delete;
+  RealCluster& operator=(const RealCluster&) = delete;
+
+  [[nodiscard]] sim::World& world() { return world_; }
+  // Lets time pass until this holds; false: it has not for so long.
+  bool run_until(const std::function<bool()>& holds, double patience_s);
+  // Ends the process at once, or all of them, and starts it again.
+  void restart_node(int node);
+  struct Output {
+    int exit_code = -1;
+    std::string text;
+  };
+  // Runs mothslipctl against all controllers.
+  Output control(const std::string& arguments);
+
+ private:
+  [[nodiscard]] std::string write_settings(int node) const;
+  void start_process(int node);
+  void stop_process(int node);
+  void serve_state();
+  void serve_cloud();
+  void serve_new_workers();
+  void step();
+
+  EventEnv env_;
+  // (What waits in the world holds requests of these: it goes first.)
+  std::vector<std::unique_ptr<HttpServer>> servers_;
+  std::map<std::string, std::unique_ptr<HttpServer>> workers_;  // by address in the simulated cluster
+  sim::World world_;
+  std::string directory_;
+  double began_;
+  std::map<int, pid_t> processes_;
+};
+
+}  // namespace mothslip::loopback
--- /dev/null
+++ b/tests/recovery_merge_test.cpp
@@ -0,0 +1,252 @@
+// Evidence of lost state, merged: by drawn histories of jobs and sources that know parts of them.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "recovery/evidence.hpp"
+#include "recovery/loss_detector.hpp"
+#include "recovery/rebuilt_records.hpp"
+
+using namespace mothslip;
+using namespace mothslip::recovery;
+
+namespace {
+
+constexpr int kJobs = 6;
+constexpr int kPieces = 8;
+constexpr int kShards = 3;
+
+std::string name_of(int number) { return "job-" + std::to_string(1000 + number); }
+
+HeadRecord head_of(int number) {
+  HeadRecord head;
+  head.spec.ref = name_of(number);
+  head.spec.workload = "w";
+  head.spec.owner = "red";
+  head.spec.pieces = kPieces;
+  head.spec.cores = 1;
+  head.spec.memory_gb = 1;
+  head.spec.bundle = "img";
+  head.spec.guess_s = 5;
+  return head;
+}
+
+// What one source says of one job. Placements name one machine an attempt, as attempts are unique.
+JobEvidence draw_job(int number) {
+  JobEvidence out;
+  if (*rc::gen::arbitrary<bool>()) {
+    out.head = head_of(number);
+    out.head->aborted = *rc::gen::arbitrary<bool>();
+  }
+  // A job ends in one way only.
+  if (*rc::gen::inRange(0, 4) == 0) out.ending = number % 2 == 0 ? JobPhase::kDone : JobPhase::kCancelled;
+  out.in_store = *rc::gen::arbitrary<bool>();
+  out.accepted = *rc::gen::arbitrary<bool>();
+  out.owner_knows_it = *rc::gen::arbitrary<bool>();
+  out.may_have_ended = *rc::gen::inRange(0, 5) == 0;
+  for (std::uint32_t task = 0; task < kPieces; task++) {
+    const int state = *rc::gen::inRange(0, 5);
+    if (state == 0) out.done.add(task);
+    if (state == 1) out.lent[*rc::gen::inRange(0, kShards)].add(task);
+    if (state == 2) {
+      const int attempt = *rc::gen::inRange(1, 5);
+      out.placements[static_cast<int>(task)] = {"host-" + std::to_string(attempt),
+                                                static_cast<std::uint64_t>(attempt)};
+    }
+    if (state == 3) out.seen.add(task);
+  }
+  return out;
+}
+
+Evidence draw_evidence() {
+  Evidence out;
+  out.shards = kShards;
+  out.newest = *rc::gen::inRange<std::uint64_t>(0, 1000);
+  for (int shard = 0; shard < kShards; shard++) {
+    if (*rc::gen::arbitrary<bool>())
+      out.owners[shard] = {*rc::gen::inRange<std::uint64_t>(1, 9), *rc::gen::arbitrary<bool>(),
+                           *rc::gen::arbitrary<bool>(), static_cast<double>(*rc::gen::inRange(-9, 9))};
+  }
+  for (int number = 0; number < kJobs; number++) {
+    if (*rc::gen::arbitrary<bool>()) out.jobs[name_of(number)] = draw_job(number);
+  }
+  for (int machine = 1; machine < 5; machine++) {
+    HostRecord record;
+    record.address = "10.1.0." + std::to_string(machine) + ":9000";
+    record.flavour = "c4";
+    record.hall = "a";
+    record.tenure = static_cast<std::uint64_t>(*rc::gen::inRange(1, 4));
+    out.machines["host-" + std::to_string(machine)] = record;
+  }
+  return out;
+}
+
+std::string text_of(const Evidence& evidence) { return dump_json(evidence.to_json()); }
+
+Evidence merged(const std::vector<Evidence>& sources) {
+  Evidence out;
+  for (const Evidence& source : sources) out.merge(source);
+  return out;
+}
+
+RebuildScope draw_scope() {
+  RebuildScope out;
+  out.shards = kShards;
+  for (int shard = 0; shard < kShards; shard++) out.owner_heard.push_back(*rc::gen::arbitrary<bool>());
+  out.nothing_runs = !out.complete();
+  return out;
+}
+
+}  // namespace
+
+RC_GTEST_PROP(MergedEvidence, DoesNotDependOnOrderOrRepetition, ()) {
+  const Evidence a = draw_evidence();
+  const Evidence b = draw_evidence();
+  const Evidence c = draw_evidence();
+  const std::string all = text_of(merged({a, b, c}));
+  RC_ASSERT(text_of(merged({c, a, b})) == all);
+  RC_ASSERT(text_of(merged({b, c, a, b, a})) == all);
+  RC_ASSERT(text_of(merged({merged({a, b}), merged({b, c})})) == all);
+}
+
+RC_GTEST_PROP(MergedEvidence, SurvivesTheWireInPieces, ()) {
+  const Evidence whole = draw_evidence();
+  const std::vector<Evidence> pieces = cut(whole, static_cast<std::size_t>(*rc::gen::inRange(1, 5)));
+  Evidence joined;
+  for (const Evidence& piece : pieces) {
+    const auto read = Evidence::from_json(parse_json(text_of(piece)));
+    RC_ASSERT(read.has_value());
+    joined.merge(*read);
+  }
+  RC_ASSERT(text_of(joined) == text_of(whole));
+}
+
+RC_GTEST_PROP(MergedEvidence, UndoesNothingThatASourceKnows, ()) {
+  const std::vector<Evidence> sources = {draw_evidence(), draw_evidence(), draw_evidence()};
+  const Evidence all = merged(sources);
+  const RebuildScope scope = draw_scope();
+  for (const Evidence& source : sources) {
+    for (const auto& [ref, known] : source.jobs) {
+      const JobOutcome outcome = derive_outcome(ref, all.jobs.at(ref), scope);
+      // An ending stands; only what is placed of a cancelled job keeps it from being recorded as ended.
+      if (known.ending) {
+        const bool stopping = outcome.kind == JobOutcome::Kind::kOpen && outcome.cancelled;
+        RC_ASSERT(outcome.kind == JobOutcome::Kind::kEnded || stopping);
+        if (known.ending == JobPhase::kDone) RC_ASSERT(outcome.ending == JobPhase::kDone);
+      }
+      RC_ASSERT(known.done.isSubset(outcome.done));
+      if (known.head && known.head->aborted && outcome.kind == JobOutcome::Kind::kOpen)
+        RC_ASSERT(outcome.cancelled);
+    }
+  }
+}
+
+// What is neither done nor placed nor held starts again: so nothing that may run or may have completed is
+// among it.
+RC_GTEST_PROP(MergedEvidence, StartsNothingAgainThatMayRunOrHaveCompleted, ()) {
+  const Evidence all = merged({draw_evidence(), draw_evidence()});
+  const RebuildScope scope = draw_scope();
+  for (const auto& [ref, job] : all.jobs) {
+    const JobOutcome outcome = derive_outcome(ref, job, scope);
+    if (outcome.kind != JobOutcome::Kind::kOpen || outcome.cancelled) continue;
+    const bool home_heard = scope.owner_heard[static_cast<std::size_t>(part_of(ref, kShards))];
+    for (std::uint32_t task = 0; task < kPieces; task++) {
+      const bool placed = outcome.placements.count(static_cast<int>(task)) > 0;
+      const int ways =
+          (placed ? 1 : 0) + (outcome.held.contains(task) ? 1 : 0) + (outcome.done.contains(task) ? 1 : 0);
+      RC_ASSERT(ways <= 1);
+      const bool starts = ways == 0;
+      if (!starts) continue;
+      RC_ASSERT(home_heard);
+      RC_ASSERT(!job.may_have_ended);
+      RC_ASSERT(job.owner_knows_it || job.accepted);
+      RC_ASSERT(scope.nothing_runs || job.placements.count(static_cast<int>(task)) == 0);
+      for (const auto& [shard, tasks] : job.lent)
+        RC_ASSERT(!tasks.contains(task) || scope.owner_heard[static_cast<std::size_t>(shard)]);
+    }
+  }
+}
+
+// Every placed task is on one page, in its machine's shard, and its team may use what it uses.
+RC_GTEST_PROP(RebuiltRecords, HoldEveryPlacementOnceAndWithinItsTeamsLimit, ()) {
+  Settings settings;
+  settings.value_kb = 1;
+  settings.teams = {{"red", 8, kJobs * kPieces, 0, 0}};
+  const Evidence all = merged({draw_evidence(), draw_evidence()});
+  RebuildScope scope;
+  scope.shards = kShards;
+  scope.owner_heard.assign(kShards, true);
+  const RebuiltRecords records = rebuild_records(all, scope, {}, settings);
+  int placed = 0;
+  double shared_out = 0;
+  for (const RecordWrite& record : records.others) {
+    RC_ASSERT(dump_json(record.data).size() <= 1024);
+    if (record.key.rfind(keys::kTeams, 0) == 0) {
+      for (const Json& cores : record.data["c"]) shared_out += cores.get<double>();
+    }
+    if (record.key.rfind("h/", 0) != 0) continue;
+    const auto page = PageRecord::from_json(record.data);
+    RC_ASSERT(page.has_value());
+    for (const auto& [name, host] : page->hosts) {
+      placed += static_cast<int>(host.placements.size());
+      RC_ASSERT(record.key.rfind(keys::pages(part_of(name, kShards)), 0) == 0);
+    }
+  }
+  RC_ASSERT(placed == records.counts.placed_tasks);
+  RC_ASSERT(shared_out <= kJobs * kPieces);
+}
+
+TEST(LossDetector, IsNotMisledByWhatIsOnlyLate) {
+  int losses = 0;
+  LossDetector detector(0, [&losses](const std::string&) { losses++; });
+  detector.on_revision(0, 10);
+  detector.on_revision(10, 10);  // nothing has changed
+  detector.on_peer_revision(15);
+  // Asked before the revision 15 was heard of: the answer may well be older.
+  detector.on_revision(10, 12);
+  EXPECT_EQ(losses, 0);
+  EXPECT_FALSE(detector.lost());
+  detector.on_revision(15, 14);
+  EXPECT_EQ(losses, 1);
+  EXPECT_TRUE(detector.lost());
+  detector.on_other_incarnation();
+  EXPECT_EQ(losses, 1) << "told once";
+}
+
+TEST(Incarnation, KeysAndRevisionsAreTranslatedBothWays) {
+  Incarnation second;
+  second.number = 2;
+  second.prefix = "r/2-77/";
+  second.token_offset = 1000;
+  second.earlier_prefixes = {""};
+  const KeySpace space(second);
+  EXPECT_EQ(space.stored_key("w/j/0/job-1"), "r/2-77/w/j/0/job-1");
+  EXPECT_EQ(space.own_key("r/2-77/w/j/0/job-1"), "w/j/0/job-1");
+  EXPECT_EQ(space.stored_key("meta"), "meta") << "shared by all incarnations";
+  EXPECT_EQ(space.stored_key("/e/0/job-1"), "e/0/job-1") << "absolute";
+  EXPECT_EQ(space.ending_keys(0, "job-1"), (std::vector<std::string>{"e/0/job-1", "/e/0/job-1"}));
+  const std::string body = R"({"guards":[{"k":"a","stamp":0},{"k":"b","stamp":1005},{"k":"c","stamp":7}],)"
+                           R"("then":[{"put":"a","data":1},{"delete":"b"}]})";
+  const Json stored = parse_json(space.stored_body(body));
+  EXPECT_EQ(stored["guards"][0]["stamp"], 0) << "it must not exist";
+  EXPECT_EQ(stored["guards"][1]["stamp"], 5);
+  EXPECT_GT(stored["guards"][2]["stamp"], 1'000'000) << "of an earlier incarnation: no such revision";
+  EXPECT_EQ(stored["then"][1]["delete"], "r/2-77/b");
+  Json answer = parse_json(R"({"epoch":9,"failed":["r/2-77/a"],"items":[{"k":"r/2-77/b","stamp":4}]})");
+  space.translate_answer(answer);
+  EXPECT_EQ(answer["epoch"], 1009);
+  EXPECT_EQ(answer["failed"][0], "a");
+  EXPECT_EQ(answer["items"][0]["stamp"], 1004);
+}
+
+TEST(Incarnation, MetaOfAFirstIncarnationIsAsEarlierVersionsWriteItAndOthersTheyLeaveAlone) {
+  MetaRecord meta;
+  meta.shards = 3;
+  EXPECT_EQ(meta.to_json(), (Json{{"parts", 3}, {"form", 2}}));
+  meta.begun = 2;
+  EXPECT_EQ(meta.to_json()["form"], 3);
+  EXPECT_TRUE(MetaRecord::from_json(meta.to_json())->rebuilding());
+  meta.incarnation = {2, "r/2-1/", 99, {""}};
+  EXPECT_FALSE(MetaRecord::from_json(meta.to_json())->rebuilding());
+  EXPECT_EQ(MetaRecord::from_json(meta.to_json())->incarnation, meta.incarnation);
+  EXPECT_FALSE(MetaRecord::from_json(Json{{"parts", 3}, {"form", 4}}));
+}
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -692,7 +692,7 @@
   }
   for (int i = 0; i < options.nodes; i++) {
     nodes[static_cast<std::size_t>(i)].earlier_version = options.earlier_version;
-    start_node(i);
+    if (!options.external_nodes) start_node(i);
   }
   at(1, [this] { check_rules(); });
   at(1, [this] { gangs.begin(); });
@@ -952,6 +952,7 @@
   for (int i = 0; i < options.nodes; i++) {
     const bool front = call.destination == front_of(i);
     if (!front && call.destination != back_of(i)) continue;
+    if (call_node) return call_node(call, reply);
     recovery::Controller* node = nodes[static_cast<std::size_t>(i)].node.get();
     if (node == nullptr) return;  // refused: the same as silence here
     // What the node's listener would refuse.
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -276,9 +276,10 @@
   double next_write_rps = 0;
   bool earlier_version = false;  // all nodes begin as the version before: World::upgrade_node
   double cloud_rps = 2;
-  std::size_t page = 7;      // items a page of the state service: small, so that paging is always used
-  bool rate_limits = false;  // the state service and the cloud answer 429
-  bool recovery = false;     // lost state is noticed and rebuilt
+  std::size_t page = 7;         // items a page of the state service: small, so that paging is always used
+  bool rate_limits = false;     // the state service and the cloud answer 429
+  bool external_nodes = false;  // the nodes are not of this world: World::call_node
+  bool recovery = false;        // lost state is noticed and rebuilt
   bool close_looks = false;  // users ask at all nodes around each acceptance, cancellation and end of a job
 };
 
@@ -339,6 +340,8 @@
   std::vector<std::string> violations;
   std::set<std::pair<std::string, std::string>> cuts;
   std::set<std::string> state_refuses;  // nodes that get 503 from the state service while others are served
+  // Carries messages to nodes that are processes of their own.
+  std::function<void(const HttpCall&, const std::function<void(HttpReply)>&)> call_node;
   std::function<void(const HttpCall&)> outside;  // hears what is sent to an address that nobody has
   std::set<std::string> no_workers;              // nodes that no machine reaches
   std::map<std::string, double> isolated;        // nodes that reach their workers only, and since when
