--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -170,7 +170,7 @@
   if (!same && !first) {
     spdlog::warn("the cloud's machine types have changed: loading anew");
     types_ = std::move(types);
-    for (int p = 0; p < ownership_.parts(); p++) ownership_.abdicate(p, "machine types changed");
+    for (int p = 0; p < ownership_.parts(); p++) ownership_.restart_shard(p, "machine types changed");
   } else {
     types_ = std::move(types);
   }
@@ -205,11 +205,11 @@
   context.may_renew = [this, part] { return ownership_.may_renew(part); };
   context.owner_since = [this](int other) { return ownership_.owner(other).baton; };
   // Both end the part that calls: they run after its own code has returned.
-  context.abdicate = [this, part, baton](const std::string& why) {
+  context.restart_shard = [this, part, baton](const std::string& why) {
     env_.after(0, [this, part, baton, why] {
       if (monitor_ != nullptr && monitor_->lost()) return;
       const auto it = parts_.find(part);
-      if (it != parts_.end() && it->second->baton() == baton) ownership_.abdicate(part, why);
+      if (it != parts_.end() && it->second->baton() == baton) ownership_.restart_shard(part, why);
     });
   };
   context.deposed = [this, part](std::uint64_t newer) {
@@ -331,15 +331,17 @@
   Json owned = Json::array();
   for (const auto& [index, part] : parts_) owned.push_back({{"part", index}, {"baton", part->baton()}});
   const double asked = env_.now();
-  if (settings_.members.empty()) ownership_.vouched(asked);  // there is nobody who could replace us
+  if (settings_.members.empty()) ownership_.note_unreplaced(asked);  // there is nobody who could replace us
   if (!owned.empty()) {
     Json beat = {{"node", settings_.node}, {"owned", owned}};
     if (monitor_ != nullptr) beat["revision"] = monitor_->newest();
     const std::string body = dump_json(beat);
-    const auto vouched = std::make_shared<std::size_t>(0);
+    const auto silent_nodes = std::make_shared<std::size_t>(0);
     for (const Member& member : settings_.members) {
       env_.call({member.address, "POST", "/peer/beat", body, 1.0},
-                [this, asked, vouched](const HttpReply& reply) { on_vouch(asked, vouched, reply); });
+                [this, asked, silent_nodes](const HttpReply& reply) {
+                  on_silence_reply(asked, silent_nodes, reply);
+                });
     }
   }
 }
@@ -347,13 +349,14 @@
 // Each answer says since when that node has heard nothing from the state service. Had it heard something
 // after the end of our lease, it could know of a new owner, or be one. Only all of them together vouch, each
 // time anew, and for the moment at which they were asked.
-void Node::on_vouch(double asked, const std::shared_ptr<std::size_t>& vouched, const HttpReply& reply) {
+void Node::on_silence_reply(double asked, const std::shared_ptr<std::size_t>& silent_nodes,
+                            const HttpReply& reply) {
   if (reply.status != 200) return;
   const Json body = parse_json(reply.body);
   if (!body.is_object() || !body.contains("silent_s") || !body["silent_s"].is_number()) return;
   const double heard_at = env_.now() - body["silent_s"].get<double>() * (1 - kDrift);
   if (heard_at >= ownership_.lease_end()) return;
-  if (++*vouched == settings_.members.size()) ownership_.vouched(asked);
+  if (++*silent_nodes == settings_.members.size()) ownership_.note_unreplaced(asked);
 }
 
 void Node::on_beat(const HttpRequest& request, const Responder& responder) {
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -66,7 +66,8 @@
   void share_calls();
   void beat();
   void tell_peers();
-  void on_vouch(double asked, const std::shared_ptr<std::size_t>& vouched, const HttpReply& reply);
+  void on_silence_reply(double asked, const std::shared_ptr<std::size_t>& silent_nodes,
+                        const HttpReply& reply);
   void report_to_fleet();
   void ask(int part, const std::string& path, const Json& body, std::function<void(Json)> answer);
   void on_peer(const HttpRequest& request, const Responder& responder);
--- a/src/coordination/ownership.cpp
+++ b/src/coordination/ownership.cpp
@@ -310,7 +310,7 @@
 }
 
 // A free part is taken at once by its home; the others hold back a little, so that claims do not collide.
-double Ownership::patience(int part) const {
+double Ownership::claim_delay(int part) const {
   const std::vector<std::string> order = order_of(part);
   const auto mine_at = std::find(order.begin(), order.end(), settings_.node) - order.begin();
   return 0.15 * static_cast<double>(mine_at);
@@ -338,7 +338,7 @@
       release_sent_[at] = 0;
       if (held_[at] != baton || reply.outcome == Outcome::kRefused) return;
       // The key may be gone, or go at any later time, while our lease goes on: nothing would tell us.
-      if (!reply.ok()) return abdicate(p, "sending it home: nobody knows");
+      if (!reply.ok()) return restart_shard(p, "sending it home: nobody knows");
       owners_[at] = {"", reply.epoch()};
       lose(p, "sent home");
       listener_.owners_changed();
@@ -352,7 +352,7 @@
   const auto at = static_cast<std::size_t>(part);
   if (hold_ == 0 || !parts_read_ || held_[at] != 0 || claiming_[at]) return;
   if (owners_[at].node.empty()) {
-    env_.after(patience(part), [this, part, at] {
+    env_.after(claim_delay(part), [this, part, at] {
       if (hold_ != 0 && held_[at] == 0 && !claiming_[at] && owners_[at].node.empty()) claim(part, 0);
     });
   } else if (owners_[at].node == settings_.node) {
@@ -410,7 +410,7 @@
   });
 }
 
-void Ownership::abdicate(int part, const std::string& why) {
+void Ownership::restart_shard(int part, const std::string& why) {
   const auto at = static_cast<std::size_t>(part);
   if (held_[at] == 0) return;
   if (monitor_ == nullptr) return give_up(part, held_[at], why);
@@ -419,7 +419,7 @@
     if (reply.outcome == Outcome::kMissing || (reply.ok() && !same_incarnation(reply)))
       return monitor_->on_other_incarnation();
     if (reply.ok()) return give_up(part, baton, why);
-    env_.after(kRetry, [this, part, why] { abdicate(part, why); });
+    env_.after(kRetry, [this, part, why] { restart_shard(part, why); });
   });
 }
 
@@ -427,10 +427,10 @@
   const auto at = static_cast<std::size_t>(part);
   if (held_[at] != baton) return;
   spdlog::warn("part {} given up: {}", part, why);
-  lose(part, "abdicated");
+  lose(part, "given up");
   // The same node takes it again at once under a new baton; whatever is still on its way dies with the old
   // one.
-  owner_boots_[at] = "abdicated";
+  owner_boots_[at] = "given up";
   owners_[at] = {settings_.node, baton};
   consider(part);
 }
--- a/src/coordination/ownership.hpp
+++ b/src/coordination/ownership.hpp
@@ -55,7 +55,7 @@
   // lease: nobody can have replaced us, or told a user anything, by then.
   // A node that is known to live has said nothing of gangs: it is of an earlier version.
   [[nodiscard]] bool earlier_version_alive() const;
-  void vouched(double moment) { unreplaced_at_ = std::max(unreplaced_at_, moment); }
+  void note_unreplaced(double moment) { unreplaced_at_ = std::max(unreplaced_at_, moment); }
   // May this part's workers be given new leases? Somebody may have replaced us without our knowing and have
   // confirmed cancellations since; the tasks must be gone within cancel_s of that, so a lease that we give
   // must end by then.
@@ -63,7 +63,7 @@
   // The moment of our clock from which on we may not.
   [[nodiscard]] double renew_deadline(int part) const;
   // Anything unexpected about a part's records: give it up and load it anew under a new baton.
-  void abdicate(int part, const std::string& why);
+  void restart_shard(int part, const std::string& why);
   // Another node was heard of holding the part with this baton.
   void heard(int part, const std::string& node, std::uint64_t baton);
 
@@ -93,7 +93,7 @@
   [[nodiscard]] std::vector<std::string> order_of(int part) const;
   void claim(int part, std::uint64_t stamp);
   void lose(int part, const char* why);
-  [[nodiscard]] double patience(int part) const;
+  [[nodiscard]] double claim_delay(int part) const;
 
   Env& env_;
   StateClient& state_;
--- a/src/coordination/part.cpp
+++ b/src/coordination/part.cpp
@@ -377,7 +377,7 @@
     failing.errors++;
     failing.last = ctx_.env->now();
     if (job->at_fault()) {
-      blame_job(*job);
+      back_off_failing_job(*job);
       free_placement(placement, 0);
       return;
     }
@@ -416,7 +416,7 @@
 // It fails wherever it is tried: the machines are cleared, and one task of it is tried now and then, until it
 // works or its user cancels it. (Incident db4e: five jobs submitted with a mistake failed 1 974 times within
 // minutes, and 156 good machines on which two of them had met were given back as faulty.)
-void Part::blame_job(Job& job) {
+void Part::back_off_failing_job(Job& job) {
   const std::string& ref = job.spec().ref;
   if (job.pause == 0) spdlog::info("{} fails on every machine: tried now and then", ref);
   // (What had started before it was found at fault fails within the first pause and does not lengthen it.)
--- a/src/coordination/part.hpp
+++ b/src/coordination/part.hpp
@@ -44,7 +44,7 @@
     std::function<std::uint64_t(int part)> owner_since;
     // Asks the owner of another part; a null answer when it cannot be reached.
     std::function<void(int part, const std::string& path, const Json& body, std::function<void(Json)>)> ask;
-    std::function<void(std::string why)> abdicate;
+    std::function<void(std::string why)> restart_shard;
     // The state service contradicts what it has answered us.
     std::function<void(const std::string& what)> contradicted;
     std::function<void(std::uint64_t baton)> deposed;  // a worker has seen a higher token
@@ -157,7 +157,7 @@
   [[nodiscard]] double lease_over_s() const;
   void on_exit(Machine& machine, Placement& placement, ExitCause cause);
   void mark_done(const JobPtr& job, int index);
-  void blame_job(Job& job);
+  void back_off_failing_job(Job& job);
   [[nodiscard]] bool failed_on_one(const std::string& ref) const;
   void free_placement(Placement& placement, double delay);
   void take_room(Machine& machine, Job& job);
--- a/src/coordination/part_commit.cpp
+++ b/src/coordination/part_commit.cpp
@@ -121,7 +121,7 @@
     pump();
     return;
   }
-  ctx_.abdicate("a commit was turned down: " + dump_json(reply.body));
+  ctx_.restart_shard("a commit was turned down: " + dump_json(reply.body));
 }
 
 // The state service calls a write invalid: its limits must have fallen below all that was announced. What is
@@ -153,7 +153,7 @@
                     if (!is_block(effect.key) || (effect.data && reply.body["data"] == *effect.data)) {
                       return settle(*write, reply.body.value("stamp", std::uint64_t{0}));
                     }
-                    ctx_.abdicate("a block that it writes was changed: " + effect.key);
+                    ctx_.restart_shard("a block that it writes was changed: " + effect.key);
                   }));
 }
 
--- a/src/coordination/part_load.cpp
+++ b/src/coordination/part_load.cpp
@@ -202,7 +202,7 @@
                         wait = std::max(0.0, kWatchGap - took);
                         pump();
                       } else if (reply.outcome == Outcome::kGone) {
-                        ctx_.abdicate("watch too old");
+                        ctx_.restart_shard("watch too old");
                         return;
                       }
                       ctx_.env->after(wait, alive([this] { watch(); }));
--- /dev/null
+++ b/src/coordination/part_summary.cpp
@@ -0,0 +1,111 @@
+// What a shard tells the fleet, and does at its word.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "coordination/part.hpp"
+
+namespace mothslip {
+
+namespace {
+constexpr double kDeafLeases = 2.5;
+}  // namespace
+
+namespace {
+// How long a placed task may still hold its room. Estimates are often too low: one that is overdue is taken
+// to need a part of what it has had.
+double remaining(const Placement& placement, double pull_gb_per_s, double now) {
+  const JobSpec& spec = placement.job->spec();
+  if (placement.running_since == 0) return spec.guess_s + 0.5 * spec.pull_gb / std::max(0.01, pull_gb_per_s);
+  const double ran = now - placement.running_since;
+  return std::max(spec.guess_s - ran, 0.25 * std::max(ran, 4.0));
+}
+}  // namespace
+
+void Part::note_ordinary_use(const Job& job, double cores, OrdinaryUse& use) {
+  use.cores += cores;
+  use.squares += cores * cores;
+  const double at_once = job.is_gang() ? job.spec().pieces : 1;
+  for (std::size_t r = 0; r < use.largest.size(); r++)
+    use.largest[r] = std::max(use.largest[r], at_once * job.demand[r]);
+}
+
+PartSummary Part::summary() const {
+  constexpr double kBucket = 5;  // seconds: ends of tasks that are close count as one
+  const double now = ctx_.env->now();
+  PartSummary out;
+  out.part = id_;
+  out.baton = baton_;
+  for (const auto& [name, machine] : machines_) {
+    MachineSummary item;
+    item.name = name;
+    item.flavour = machine->record.flavour;
+    item.hall = machine->record.hall;
+    item.address = machine->record.address;
+    item.spot = machine->record.loaner;
+    item.welcome =
+        machine->type >= 0 && machine->welcome() && now - machine->last_heard < ctx_.settings->lease_s / 2;
+    // One that does not hear us for long is of no use either.
+    item.sick = machine->sick || (machine->deaf && now - machine->deaf_since > kDeafLeases * lease_over_s());
+    item.draining = machine->draining;
+    // Nothing is placed, and every completion it showed is durable and reaped.
+    item.empty = machine->placements.empty() && machine->strays.empty();
+    item.silent_s = now - machine->last_heard;
+    item.idle_s = machine->placements.empty() ? now - machine->busy_at : 0;
+    std::map<int, Resources> rooms;
+    std::map<int, Resources> yielding;  // likewise, held by best-effort work
+    rooms[0] = machine->room;
+    for (const Placement& placement : machine->placements) {
+      const double rate = machine->type >= 0 ? ctx_.types->at(machine->type).pull_gb_per_s : 1;
+      const int bucket = 1 + static_cast<int>(remaining(placement, rate, now) / kBucket);
+      Resources& room = gives_way(*placement.job) ? yielding[bucket] : rooms[bucket];
+      for (std::size_t r = 0; r < 3; r++) room[r] += placement.job->demand[r];
+    }
+    for (const auto& [bucket, room] : rooms) item.rooms.push_back({bucket * kBucket, room, false});
+    for (const auto& [bucket, room] : yielding) item.rooms.push_back({bucket * kBucket, room, true});
+    std::stable_sort(item.rooms.begin(), item.rooms.end(),
+                     [](const FleetRoom& a, const FleetRoom& b) { return a.at_s < b.at_s; });
+    out.machines.push_back(std::move(item));
+  }
+  const double wall = ctx_.env->wall();
+  for (const auto& [name, job] : jobs_) {
+    if (job->over()) continue;
+    const JobSpec& spec = job->spec();
+    // No machine is rented for one that is at fault.
+    const int waiting = job->at_fault() ? 0 : job->waiting.size();
+    const int count = job->at_fault() ? 0 : waiting + static_cast<int>(job->backoff.size());
+    // Room is kept free for what demand varies by; best-effort work can wait.
+    if (!gives_way(*job)) out.wanted_by_team[job->team] += (job->placed + waiting) * job->demand[0];
+    out.used_by_team[job->team] += job->placed * job->demand[0];
+    if (!job->borrowed() && !gives_way(*job)) {
+      const double cores = (job->placed + count + job->lent_open()) * job->demand[0];
+      if (spec.loaner) {
+        out.squares += cores * cores;
+      } else {
+        note_ordinary_use(*job, cores, out.ordinary);
+      }
+    }
+    if (count == 0) continue;
+    DemandSummary demand;
+    demand.demand = job->demand;
+    demand.count = count;
+    demand.team = job->team;
+    // (Promoted best-effort work is asked for like other work.)
+    demand.urgency = gives_way(*job) ? 0 : std::max(1, static_cast<int>(spec.urgency));
+    demand.guess_s = spec.guess_s;
+    demand.pull_gb = spec.pull_gb;
+    if (spec.due_s) demand.time_left_s = job->head.submitted + *spec.due_s - wall;
+    demand.workload = spec.workload;
+    demand.loaner = spec.loaner;
+    if (spec.flavours) demand.flavours = *spec.flavours;
+    if (spec.hall) demand.hall = *spec.hall;
+    demand.submitted = job->head.submitted;
+    demand.starving = starving(*job);
+    demand.gang = job->is_gang();
+    out.demands.push_back(std::move(demand));
+  }
+  return out;
+}
+
+}  // namespace mothslip
--- a/src/recovery/rebuilt_records.cpp
+++ b/src/recovery/rebuilt_records.cpp
@@ -201,6 +201,9 @@
         cores.push_back(each.cores + spare_cores);
         gpus.push_back(each.gpus + spare_gpus);
       }
+      // (What an even part rounds away must not be lost to the team.)
+      cores[0] = use[0].cores + rest_of(limits.cpus_max, total.cores, spare_cores);
+      gpus[0] = use[0].gpus + rest_of(limits.gpus_max, total.gpus, spare_gpus);
       out_.others.push_back({keys::team(team), {{"c", std::move(cores)}, {"g", std::move(gpus)}}});
     }
   }
@@ -209,6 +212,11 @@
     return std::max(0.0, std::floor(amount / scope_.shards / kCoreGrain) * kCoreGrain);
   }
 
+  // What is left of a limit for the first shard when all others have their even part.
+  [[nodiscard]] double rest_of(double limit, double used, double even) const {
+    return std::max(0.0, limit - used - even * (scope_.shards - 1));
+  }
+
   const Evidence& evidence_;
   const RebuildScope& scope_;
   const TaskSet& stored_endings_;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -7,6 +7,7 @@
 #include <iostream>
 
 #include "sim/checks.hpp"
+#include "sim/days.hpp"
 #include "sim/world.hpp"
 
 using namespace mothslip;
@@ -14,66 +15,6 @@
 
 namespace {
 
-constexpr int kHalls = 4;
-constexpr int kMarket = 125;  // machines: two types, four halls, ordinary and spot
-
-Options large(std::uint64_t seed) {
-  Options out;
-  out.seed = seed;
-  out.nodes = 5;
-  out.market = kMarket;
-  out.halls.clear();
-  for (int i = 0; i < kHalls; i++) out.halls.push_back("hall-" + std::to_string(i));
-  out.report_s = 4;
-  out.lease_s = 20;
-  out.team_cpus = 4000;
-  out.team_max = 9000;
-  out.state_rps = 200;
-  out.write_rps = 50;
-  out.txn_ops = 12;
-  out.cloud_rps = 8;
-  out.page = 500;
-  out.rate_limits = true;
-  return out;
-}
-
-// Jobs of three sizes, a third of them in the first seconds.
-void add_crowd(World& world, int jobs, double until) {
-  for (int i = 0; i < jobs; i++) {
-    UserJob job;
-    job.ref = "job-" + std::to_string(100000 + i * 7919 % 100000);
-    const int kind = i % 4;
-    job.pieces = kind == 0 ? 10 : 40;
-    job.run_s = world.uniform(15, 40);
-    job.submit_at = i < jobs / 3 ? world.uniform(2, 12) : world.uniform(12, until);
-    if (i % 20 == 19) job.cancel_at = job.submit_at + world.uniform(1, 40);
-    const int cores = kind == 0 ? 12 : kind == 1 ? 4 : 2;
-    job.body = {{"ref", job.ref},
-                {"workload", kind == 0   ? "large"
-                             : kind == 1 ? "middle"
-                                         : "small"},
-                {"owner", i % 2 == 0 ? "red" : "blue"},
-                {"shape", "array"},
-                {"urgency", kind >= 2 ? "urgent" : "normal"},
-                {"pieces", job.pieces},
-                {"cores", cores},
-                {"accelerators", 0},
-                {"memory_gb", cores * 2},
-                {"bundle", "img-" + std::to_string(i % 15)},
-                {"pull_gb", 1},
-                {"flavours", nullptr},
-                {"hall", nullptr},
-                {"together", false},
-                {"scatter", false},
-                {"loaner", true},
-                {"guess_s", job.run_s * world.uniform(0.6, 1.4)},
-                {"snapshot_every_s", 0},
-                {"snapshot_cost_s", 0},
-                {"due_s", job.run_s * 3 + 40}};
-    world.submit(job);
-  }
-}
-
 class LargeFleet : public ::testing::Test {
  protected:
   void SetUp() override { set_up_log(); }
@@ -83,8 +24,8 @@
 
 TEST_F(LargeFleet, QuietDay) {
   constexpr double kDay = 260;
-  Options most = large(1);
-  most.market = 2 * kMarket;
+  Options most = large_fleet(1);
+  most.market = 2 * kLargeMarket;
   most.team_max = 14000;
   World world(most);
   add_crowd(world, 800, 100);
@@ -111,7 +52,7 @@
 // again after seconds; a tenth of the machines hang meanwhile. A part that must read many records one after
 // the other stays away for as long.
 TEST_F(LargeFleet, AllNodesRestartWhileTheStateServiceIsSlow) {
-  World world(large(2));
+  World world(large_fleet(2));
   add_crowd(world, 300, 120);
   double down = 0;  // of any part, since the last restart
   const auto until_active = [&world, &down](double since) {
@@ -158,7 +99,7 @@
 // messages keep coming. What was only cut off is not given back, and what was lost is rented anew once, not
 // again and again.
 TEST_F(LargeFleet, MuchOfAZoneIsCutOffWhileMachinesHangAndDie) {
-  Options mixed = large(3);
+  Options mixed = large_fleet(3);
   mixed.copies = 0.02;
   mixed.state_copies = 0.02;
   World world(mixed);
@@ -206,7 +147,7 @@
 // another one for a while. What waited in its sockets and timers must not be carried out as if it still owned
 // anything.
 TEST_F(LargeFleet, AFrozenControllerStartsNothingWhenItWakes) {
-  World world(large(4));
+  World world(large_fleet(4));
   add_crowd(world, 300, 150);
   const auto freeze = [&world](int node, double for_s) {
     const std::string name = node_name(node);
--- a/tests/loopback/real_cluster.cpp
+++ b/tests/loopback/real_cluster.cpp
@@ -124,7 +124,7 @@
          << "\ncpus_max = " << options.team_max << "\ngpus = 0.0\ngpus_max = 0.0\n";
   }
   text << "[settings.workers]\nreport_s = " << options.report_s << "\nlease_s = " << options.lease_s
-       << "\ncancel_s = 40.0\n[settings.state]\nrps = " << options.state_rps
+       << "\ncancel_s = 18.0\n[settings.state]\nrps = " << options.state_rps
        << "\nwrite_rps = " << options.write_rps << "\nvalue_kb = " << options.value_kb
        << "\ntxn_ops = " << options.txn_ops << "\n[settings.cloud]\nrps = " << options.cloud_rps
        << "\nlist_lag_s = 3.0\n";
--- a/tests/recovery_merge_test.cpp
+++ b/tests/recovery_merge_test.cpp
@@ -192,7 +192,8 @@
     }
   }
   RC_ASSERT(placed == records.counts.placed_tasks);
-  RC_ASSERT(shared_out <= kJobs * kPieces);
+  // (Without a record a limit is split evenly.)
+  RC_ASSERT(shared_out == kJobs * kPieces || (shared_out == 0 && placed == 0));
 }
 
 TEST(LossDetector, IsNotMisledByWhatIsOnlyLate) {
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -162,6 +162,29 @@
   expect_incarnation(world, 2);
 }
 
+// A controller ends at the moment of the loss, and some machines are silent: what runs there goes on until
+// their leases are over. (Without waiting for that, tasks were started elsewhere while they ran there.)
+TEST_P(LostState, AControllerEndsAtTheMomentOfTheLossAndMachinesAreSilent) {
+  World world(options());
+  add_jobs(world, 2, 40);
+  add_witnesses(world);
+  world.submit(plain_job(world, 91, 45, 8, 70));
+  const double loss = world.uniform(60, 70);
+  set_back(world, 55, loss);
+  world.at(loss - 0.5, [&world] {
+    for (const auto& [name, worker] : world.workers) {
+      if (!worker->tasks.empty()) world.cut_off(name);
+    }
+  });
+  world.at(loss + 40, [&world] { world.cuts.clear(); });
+  world.at(loss, [&world] { world.crash_node(some_node(world), world.uniform(0.2, 3)); });
+  world.troubles_end = loss + kOperatorAfter + 30;
+  world.at(loss + kOperatorAfter, [&world] { decide_as_operator(world); });
+  world.run_until(600);
+  expect_kept(world);
+  expect_incarnation(world, 2);
+}
+
 TEST_P(LostState, AControllerEndsAtTheMomentOfTheLoss) {
   World world(options());
   add_jobs(world, 2, 40);
--- a/tests/sim/days.cpp
+++ b/tests/sim/days.cpp
@@ -37,6 +37,64 @@
   return job;
 }
 
+Options large_fleet(std::uint64_t seed, int market) {
+  constexpr int kHalls = 4;
+  Options out;
+  out.seed = seed;
+  out.nodes = 5;
+  out.market = market;
+  out.halls.clear();
+  for (int i = 0; i < kHalls; i++) out.halls.push_back("hall-" + std::to_string(i));
+  out.report_s = 4;
+  out.lease_s = 20;
+  out.team_cpus = 4000;
+  out.team_max = 9000;
+  out.state_rps = 200;
+  out.write_rps = 50;
+  out.txn_ops = 12;
+  out.cloud_rps = 8;
+  out.page = 500;
+  out.rate_limits = true;
+  return out;
+}
+
+// Jobs of three sizes, a third of them in the first seconds.
+void add_crowd(World& world, int jobs, double until) {
+  for (int i = 0; i < jobs; i++) {
+    UserJob job;
+    job.ref = "job-" + std::to_string(100000 + i * 7919 % 100000);
+    const int kind = i % 4;
+    job.pieces = kind == 0 ? 10 : 40;
+    job.run_s = world.uniform(15, 40);
+    job.submit_at = i < jobs / 3 ? world.uniform(2, 12) : world.uniform(12, until);
+    if (i % 20 == 19) job.cancel_at = job.submit_at + world.uniform(1, 40);
+    const int cores = kind == 0 ? 12 : kind == 1 ? 4 : 2;
+    job.body = {{"ref", job.ref},
+                {"workload", kind == 0   ? "large"
+                             : kind == 1 ? "middle"
+                                         : "small"},
+                {"owner", i % 2 == 0 ? "red" : "blue"},
+                {"shape", "array"},
+                {"urgency", kind >= 2 ? "urgent" : "normal"},
+                {"pieces", job.pieces},
+                {"cores", cores},
+                {"accelerators", 0},
+                {"memory_gb", cores * 2},
+                {"bundle", "img-" + std::to_string(i % 15)},
+                {"pull_gb", 1},
+                {"flavours", nullptr},
+                {"hall", nullptr},
+                {"together", false},
+                {"scatter", false},
+                {"loaner", true},
+                {"guess_s", job.run_s * world.uniform(0.6, 1.4)},
+                {"snapshot_every_s", 0},
+                {"snapshot_cost_s", 0},
+                {"due_s", job.run_s * 3 + 40}};
+    world.submit(job);
+  }
+}
+
 int some_node(World& world) {
   return static_cast<int>(world.rng() % static_cast<std::uint64_t>(world.options.nodes));
 }
--- /dev/null
+++ b/tests/sim/state_service.cpp
@@ -0,0 +1,239 @@
+// The state service of the simulated cluster.
+#include <algorithm>
+
+#include "sim/query.hpp"
+#include "sim/world.hpp"
+
+namespace mothslip::sim {
+
+StateService::StateService(World& world)
+    : world_(world),
+      calls_(world.options.state_rps, world.options.state_rps, 0),
+      writes_(world.options.write_rps, world.options.write_rps, 0),
+      value_kb_(world.options.value_kb),
+      txn_ops_(static_cast<std::size_t>(world.options.txn_ops)) {}
+
+void StateService::lower_limits(double value_kb, int txn_ops, double write_rps) {
+  value_kb_ = value_kb;
+  txn_ops_ = static_cast<std::size_t>(txn_ops);
+  writes_.set_rate(write_rps, write_rps, world_.now);
+}
+
+bool StateService::over_size(const Json& changes, std::size_t conditions) const {
+  if (changes.size() > txn_ops_ || conditions > 4 * txn_ops_) return true;
+  return std::any_of(changes.begin(), changes.end(), [this](const Json& change) {
+    return change.contains("put") && static_cast<double>(change["data"].dump().size()) > 1024 * value_kb_;
+  });
+}
+
+std::uint64_t StateService::stamp(const std::string& key) const {
+  const auto it = stamps_.find(key);
+  return it == stamps_.end() ? 0 : it->second;
+}
+
+void StateService::set_outage(bool out) {
+  expire();
+  outage_ = out;
+  if (!out) {
+    for (auto& [id, lease] : leases_) lease.ends = world_.now + lease.ttl;  // all get their full time again
+    serve_watches();
+  }
+}
+
+void StateService::erase(const std::string& key) {
+  values_.erase(key);
+  stamps_.erase(key);
+  holds_.erase(key);
+}
+
+void StateService::changed(const std::string& key, Json event) {
+  changes_.push_back({epoch_, key, std::move(event)});
+}
+
+void StateService::expire() {
+  if (outage_) return;
+  for (auto it = leases_.begin(); it != leases_.end();) {
+    if (it->second.ends > world_.now) {
+      ++it;
+      continue;
+    }
+    std::vector<std::string> gone;
+    for (const auto& [key, hold] : holds_) {
+      if (hold == it->first) gone.push_back(key);
+    }
+    if (!gone.empty()) epoch_++;
+    for (const std::string& key : gone) {
+      erase(key);
+      changed(key, {{"delete", key}, {"stamp", epoch_}});
+    }
+    it = leases_.erase(it);
+  }
+  serve_watches();
+}
+
+StateService::Copy StateService::copy() const {
+  Copy out{values_, stamps_, holds_, {}, epoch_, next_lease_};
+  for (const auto& [id, lease] : leases_) out.leases[id] = lease.ttl;
+  return out;
+}
+
+// As when an operator restores a backup: leases get their full time, watches stay open and wait for revisions
+// that they take for new.
+void StateService::restore(const Copy& copy) {
+  values_ = copy.values;
+  stamps_ = copy.stamps;
+  holds_ = copy.holds;
+  epoch_ = copy.epoch;
+  next_lease_ = copy.next_lease;
+  leases_.clear();
+  for (const auto& [id, ttl] : copy.leases) leases_[id] = {ttl, world_.now + ttl};
+  std::erase_if(changes_, [this](const Change& change) { return change.revision > epoch_; });
+}
+
+void StateService::write_again(const std::string& key) {
+  epoch_++;
+  stamps_[key] = epoch_;
+  changed(key, {{"put", key}, {"data", values_.at(key)}, {"stamp", epoch_}});
+  serve_watches();
+}
+
+void StateService::release_watches() {
+  hold_watches = false;
+  serve_watches();
+}
+
+bool StateService::answer_watch(Watch& watch) {
+  if (outage_ || hold_watches) return false;
+  Json events = Json::array();
+  const auto first =
+      std::upper_bound(changes_.begin(), changes_.end(), watch.from,
+                       [](std::uint64_t from, const Change& change) { return from < change.revision; });
+  for (auto it = first; it != changes_.end(); ++it) {
+    if (starts_with(it->key, watch.prefix)) events.push_back(it->event);
+  }
+  if (events.empty()) return false;
+  watch.over = true;
+  watch.reply(200, {{"epoch", epoch_}, {"events", events}});
+  return true;
+}
+
+void StateService::serve_watches() {
+  const auto open = watches_;
+  for (const auto& watch : open) {
+    if (!watch->over) answer_watch(*watch);
+  }
+  std::erase_if(watches_, [](const auto& watch) { return watch->over; });
+}
+
+void StateService::handle(const std::string& method, const std::string& target, const std::string& body,
+                          const Reply& reply) {
+  expire();
+  if (outage_) return reply(503, {{"error", "trouble"}});
+  const std::string path = target.substr(0, target.find('?'));
+  if (world_.options.rate_limits) {
+    if (!calls_.can_take(1, 0, world_.now)) {
+      too_many++;
+      return reply(429, Json::object());
+    }
+    calls_.take(1, world_.now);
+  }
+  if (path == "/changes") {
+    auto watch = std::make_shared<Watch>();
+    watch->prefix = query(target, "prefix");
+    watch->from = std::stoull(query(target, "from"));
+    watch->reply = reply;
+    if (answer_watch(*watch)) return;
+    watches_.push_back(watch);
+    world_.in(std::stod(query(target, "wait_ms")) / 1000, [this, watch] {
+      if (watch->over || outage_ || hold_watches) return;
+      watch->over = true;
+      watch->reply(200, {{"epoch", epoch_}, {"events", Json::array()}});
+    });
+    return;
+  }
+  if (path == "/keys") {
+    const std::string prefix = query(target, "prefix");
+    const std::string from = query(target, "from");
+    Json items = Json::array();
+    bool more = false;
+    for (auto it = values_.lower_bound(prefix); it != values_.end() && starts_with(it->first, prefix); ++it) {
+      if (!from.empty() && it->first <= from) continue;
+      if (items.size() == world_.options.page) {
+        more = true;
+        break;
+      }
+      items.push_back({{"k", it->first}, {"data", it->second}, {"stamp", stamps_[it->first]}});
+    }
+    return reply(200, {{"items", items}, {"more", more}, {"epoch", epoch_}});
+  }
+  if (starts_with(path, "/keys/")) {
+    const std::string key = path.substr(6);
+    const auto it = values_.find(key);
+    if (it == values_.end()) return reply(404, {{"epoch", epoch_}});
+    Json out = {{"k", key}, {"data", it->second}, {"stamp", stamps_[key]}};
+    if (holds_.count(key) > 0) out["hold"] = holds_[key];
+    return reply(200, out);
+  }
+  const Json json = body.empty() ? Json::object() : parse_json(body);
+  if (path == "/commit") {
+    const auto changes = json["then"].size();
+    if (over_size(json["then"], json["guards"].size())) {
+      too_large++;
+      if (!may_be_too_large) world_.broken("a transaction that is too large: " + body.substr(0, 300));
+      return reply(400, {{"error", "too large"}});
+    }
+    if (world_.options.rate_limits && changes > 0) {
+      const double cost = static_cast<double>(changes);
+      if (!writes_.can_take(cost, 0, world_.now)) {
+        too_many++;
+        return reply(429, Json::object());
+      }
+      writes_.take(cost, world_.now);
+    }
+    changes_made += static_cast<int>(changes);
+    Json failed = Json::array();
+    for (const Json& guard : json["guards"]) {
+      if (stamp(guard["k"]) != guard["stamp"].get<std::uint64_t>()) failed.push_back(guard["k"]);
+    }
+    for (const Json& change : json["then"]) {
+      if (change.contains("hold") && leases_.count(change["hold"].get<std::uint64_t>()) == 0) {
+        return reply(400, {{"error", "no such lease"}});
+      }
+    }
+    if (!failed.empty()) return reply(409, {{"failed", failed}, {"epoch", epoch_}});
+    if (!json["then"].empty()) epoch_++;
+    for (const Json& change : json["then"]) {
+      if (change.contains("put")) {
+        const std::string key = change["put"];
+        values_[key] = change["data"];
+        stamps_[key] = epoch_;
+        holds_.erase(key);
+        if (change.contains("hold")) holds_[key] = change["hold"].get<std::uint64_t>();
+        changed(key, {{"put", key}, {"data", change["data"]}, {"stamp", epoch_}});
+      } else {
+        const std::string key = change["delete"];
+        if (values_.count(key) == 0) continue;
+        erase(key);
+        changed(key, {{"delete", key}, {"stamp", epoch_}});
+      }
+    }
+    reply(200, {{"epoch", epoch_}});
+    serve_watches();
+    return;
+  }
+  if (path == "/leases") {
+    const double ttl = json["ttl_ms"].get<double>() / 1000;
+    leases_[next_lease_] = {ttl, world_.now + ttl};
+    return reply(200, {{"hold", next_lease_++}});
+  }
+  if (starts_with(path, "/leases/")) {
+    const auto it = leases_.find(std::stoull(path.substr(8)));
+    if (it == leases_.end()) return reply(404, Json::object());
+    it->second.ends = world_.now + it->second.ttl;
+    return reply(200, {{"hold", it->first}});
+  }
+  (void)method;
+  reply(400, {{"error", "malformed"}});
+}
+
+}  // namespace mothslip::sim
