Loopback tests: the operators' file is written once, before any process reads it

Cause: it was written anew for each process that was started, and a process started before could read it empty and begin without recovery. Change: one write, first.

--- a/tests/loopback/real_cluster.cpp
+++ b/tests/loopback/real_cluster.cpp
@@ -51,6 +51,9 @@
     real.body = addresses_to_loopback(call.body);
     env_.call(std::move(real), reply);
   };
+  // (Once, before any process reads it: written again for each, it was empty for a moment, and a process that
+  // was started before began without recovery.)
+  std::ofstream(directory_ + "/mothslip.ini") << "[recovery]\nenabled = yes\n";
   serve_state();
   serve_cloud();
   for (int node = 0; node < options.nodes; node++) start_process(node);
@@ -130,7 +133,6 @@
        << "\nlist_lag_s = 3.0\n";
   std::string file = directory_ + "/" + sim::node_name(node) + ".toml";
   std::ofstream(file) << text.str();
-  std::ofstream(directory_ + "/mothslip.ini") << "[recovery]\nenabled = yes\n";
   return file;
 }
 
