--- a/review/harness/cluster.cpp
+++ b/review/harness/cluster.cpp
@@ -100,16 +100,26 @@
   return text;
 }
 
+// Each controller has an address of its own for the state service, so that a case can tell them apart.
+std::string Cluster::state_address(int node) {
+  return real_address(std::string(sim::kStateAddress) + " for " + sim::node_name(node));
+}
+
 void Cluster::serve_state() {
-  servers_.push_back(std::make_unique<HttpServer>(
-      env_.base(), real_address(sim::kStateAddress), kMaxBodyBytes, 0,
-      [this](const HttpRequest& request, const Responder& responder) {
-        if (on_state_request && on_state_request(request, responder)) return;
-        world_.state.handle(request.method, request_target(request), request.body,
-                            [responder](int status, const Json& body) {
-                              responder.send(status, mothslip::dump_json(body));
-                            });
-      }));
+  for (int node = 0; node < nodes(); node++) {
+    servers_.push_back(std::make_unique<HttpServer>(
+        env_.base(), state_address(node), kMaxBodyBytes, 0,
+        [this, node](const HttpRequest& request, const Responder& responder) {
+          if (on_state_request && on_state_request(node, request, responder)) return;
+          handle_state_request(request, responder);
+        }));
+  }
+}
+
+void Cluster::handle_state_request(const HttpRequest& request, const Responder& responder) {
+  world_.state.handle(
+      request.method, request_target(request), request.body,
+      [responder](int status, const Json& body) { responder.send(status, mothslip::dump_json(body)); });
 }
 
 void Cluster::serve_cloud() {
@@ -191,7 +201,7 @@
          << real_address(sim::peer_address_of(other)) << "\"\n";
   }
   text << "[outside]\ncloud = \"" << real_address(sim::kCloudAddress) << "\"\nstate = \""
-       << real_address(sim::kStateAddress) << "\"\n"
+       << state_address(node) << "\"\n"
        << "[settings]\ninitial_size = " << nodes() << "\nzones = [\"a\", \"b\"]\nskew_ms = 100.0\n";
   for (const char* team : {"red", "blue"}) {
     text << "[[settings.teams]]\nname = \"" << team << "\"\ncpus = " << options.team_cpus
@@ -221,7 +231,7 @@
     dup2(file, STDERR_FILENO);
     for (int other = STDERR_FILENO + 1; other < 4096; other++) close(other);
     setenv("LOG_LEVEL", "info", 1);
-    execl("target/mothslip", "target/mothslip", "--config", settings.c_str(), nullptr);
+    execl(deployment_.program.c_str(), deployment_.program.c_str(), "--config", settings.c_str(), nullptr);
     _exit(127);
   }
   processes_[node] = process;
--- a/review/harness/cluster.hpp
+++ b/review/harness/cluster.hpp
@@ -37,6 +37,7 @@
   double cancel_s = 42;
   // Puts the operators' file mothslip.ini with `[recovery] enabled = yes` beside the settings files.
   bool recovery = false;
+  std::string program = "target/mothslip";
 };
 
 // The answer to a user's request.
@@ -101,12 +102,14 @@
   std::string log_file(int node) const;
 
   // If set, decides how each request of a controller to the state service is handled. Returns true if it has
-  // taken the request over.
-  std::function<bool(const HttpRequest&, const Responder&)> on_state_request;
+  // taken the request over; `handle_state_request` then carries it out, now or later.
+  std::function<bool(int node, const HttpRequest&, const Responder&)> on_state_request;
+  void handle_state_request(const HttpRequest& request, const Responder& responder);
 
  private:
   std::string real_address(const std::string& address);
   std::string translate(std::string text);
+  std::string state_address(int node);
   void serve_state();
   void serve_cloud();
   void serve_new_workers();
