--- a/review/harness/cluster.cpp
+++ b/review/harness/cluster.cpp
@@ -64,8 +64,7 @@
     loopback_call.body = translate(sent.body);
     env_.call(std::move(loopback_call), reply);
   };
-  if (deployment_.recovery)
-    std::ofstream(directory_ + "/mothslip.ini") << "[recovery]\nenabled = yes\n";
+  if (deployment_.recovery) std::ofstream(directory_ + "/mothslip.ini") << "[recovery]\nenabled = yes\n";
   serve_state();
   serve_cloud();
   for (int node = 0; node < nodes(); node++) start_node(node);
@@ -107,12 +106,13 @@
 
 void Cluster::serve_state() {
   for (int node = 0; node < nodes(); node++) {
-    servers_.push_back(std::make_unique<HttpServer>(
-        env_.base(), state_address(node), kMaxBodyBytes, 0,
-        [this, node](const HttpRequest& request, const Responder& responder) {
-          if (on_state_request && on_state_request(node, request, responder)) return;
-          handle_state_request(request, responder);
-        }));
+    servers_.push_back(
+        std::make_unique<HttpServer>(env_.base(), state_address(node), kMaxBodyBytes, 0,
+                                     [this, node](const HttpRequest& request, const Responder& responder) {
+                                       if (on_state_request && on_state_request(node, request, responder))
+                                         return;
+                                       handle_state_request(request, responder);
+                                     }));
   }
 }
 
@@ -142,10 +142,9 @@
         [this, at](const HttpRequest& request, const Responder& responder) {
           const auto found = world_.workers_by_address.find(at);
           if (found == world_.workers_by_address.end() || found->second->dead) return;
-          found->second->handle(request.path, request.body,
-                                [this, responder](int status, const Json& body) {
-                                  responder.send(status, translate(mothslip::dump_json(body)));
-                                });
+          found->second->handle(request.path, request.body, [this, responder](int status, const Json& body) {
+            responder.send(status, translate(mothslip::dump_json(body)));
+          });
         });
   }
 }
@@ -212,7 +211,8 @@
        << "\ncancel_s = " << deployment_.cancel_s << "\n[settings.state]\nrps = " << options.state_rps
        << "\nwrite_rps = " << options.write_rps << "\nvalue_kb = " << options.value_kb
        << "\ntxn_ops = " << options.txn_ops << "\n[settings.cloud]\nrps = " << options.cloud_rps
-       << "\nlist_lag_s = 3.0\n[settings.machine_limits]\ncpu_share = 0.064\nmem_mb = 40.0\nmax_sockets = 600\n";
+       << "\nlist_lag_s = 3.0\n[settings.machine_limits]\ncpu_share = 0.064\nmem_mb = 40.0\nmax_sockets = "
+          "600\n";
   std::string file = directory_ + "/" + sim::node_name(node) + ".toml";
   std::ofstream(file) << text.str();
   return file;
@@ -286,9 +286,9 @@
 
 Answer Cluster::ask(int node, const std::string& method, const std::string& path, const std::string& body,
                     double timeout_s) {
-  note("SENT  user -> " + sim::node_name(node) + ": " + method + " " + path + (body.size() > 2 ? " " + body : ""));
-  const Answer out =
-      call({real_address(sim::client_address_of(node)), method, path, body, timeout_s, false});
+  note("SENT  user -> " + sim::node_name(node) + ": " + method + " " + path +
+       (body.size() > 2 ? " " + body : ""));
+  const Answer out = call({real_address(sim::client_address_of(node)), method, path, body, timeout_s, false});
   note("ANSW  " + sim::node_name(node) + " -> user: " +
        (out.status == 0 ? std::string("no answer") : std::to_string(out.status) + " " + out.body));
   return out;
