--- a/src/coordination/shard/cancellation.cpp
+++ b/src/coordination/shard/cancellation.cpp
@@ -189,7 +189,7 @@
   bool acknowledged = true;
   for (auto it = model_.jobs().lower_bound(prefix);
        it != model_.jobs().end() && it->first.rfind(prefix, 0) == 0; ++it) {
-    delegation_.cancel_delegated_job(it->second);
+    delegation_.cancel_delegated_job(it->second, CancellationSource::kNotice);
     acknowledged = acknowledged && tasks_stopped(*it->second);
     it->second->cancellation_acknowledged = true;
   }
--- a/src/coordination/shard/journal_outcome.cpp
+++ b/src/coordination/shard/journal_outcome.cpp
@@ -85,7 +85,8 @@
   for (const std::string& key : failed_keys) {
     if (!explains_refusal(write, key, delegated_here)) return false;
   }
-  for (const JobPtr& job : delegated_here) delegation_.cancel_delegated_job(job);
+  for (const JobPtr& job : delegated_here)
+    delegation_.cancel_delegated_job(job, CancellationSource::kRefusedWrite);
   segments_.undo_created_segments(write);
   undo_delegations(write, failed_keys);
   segments_.undo_moved_placements(write);
--- a/src/coordination/shard/shard_loader.cpp
+++ b/src/coordination/shard/shard_loader.cpp
@@ -176,7 +176,7 @@
         }
         for (const auto& [name, job] : model_.jobs()) {
           if (job->delegated_here() && job->home_shard == home_shard && open_refs.count(job->spec().ref) == 0)
-            delegation_.cancel_delegated_job(job);
+            delegation_.cancel_delegated_job(job, CancellationSource::kRecordRead);
         }
         home_shards.erase(home_shard);
         check_delegated_jobs(std::move(home_shards));
@@ -319,7 +319,7 @@
     const std::string prefix = keys::delegations(ctx_.shard, ref);
     for (auto it = model_.jobs().lower_bound(prefix);
          it != model_.jobs().end() && it->first.rfind(prefix, 0) == 0; ++it) {
-      delegation_.cancel_delegated_job(it->second);
+      delegation_.cancel_delegated_job(it->second, CancellationSource::kRecordWatched);
     }
     return;
   }
--- a/src/coordination/shard/task_delegation.cpp
+++ b/src/coordination/shard/task_delegation.cpp
@@ -39,6 +39,19 @@
 double max_range_bytes(const RangeSet& range) {
   return 2 * (kMaxBytesPerRange * static_cast<double>(range.range_count()) + kMaxBytesPerTask * range.size());
 }
+const char* describe(CancellationSource source) {
+  switch (source) {
+    case CancellationSource::kNotice:
+      return "the home shard has sent a notice";
+    case CancellationSource::kRecordRead:
+      return "the job record was read while the shard loaded";
+    case CancellationSource::kRecordWatched:
+      return "the job record has changed or was deleted";
+    case CancellationSource::kRefusedWrite:
+      return "a journal write that depends on the job record was refused";
+  }
+  return "";
+}
 }  // namespace
 
 TaskDelegation::TaskDelegation(const ShardContext& context, ShardModel& model, RecordCommitter& committer,
@@ -74,8 +87,10 @@
   model_.notify_work_waiting();
 }
 
-void TaskDelegation::cancel_delegated_job(const JobPtr& job) {
+void TaskDelegation::cancel_delegated_job(const JobPtr& job, CancellationSource source) {
   if (job->record.cancelled) return;
+  spdlog::info("job {}: its tasks delegated to shard {} are cancelled: {}", job->spec().ref, ctx_.shard,
+               describe(source));
   job->record.cancelled = true;
   job->cancelled_at = ctx_.env->now();
   // While records are being loaded, the waiting tasks determine which placements in the segments still count:
--- a/src/coordination/shard/task_delegation.hpp
+++ b/src/coordination/shard/task_delegation.hpp
@@ -23,6 +23,14 @@
 class RecordCommitter;
 class WorkerCommands;
 
+// How a delegate has learned that a job whose tasks it was given is cancelled.
+enum class CancellationSource {
+  kNotice,         // a notice of the home shard
+  kRecordRead,     // the job records that it has read while it loaded
+  kRecordWatched,  // the watch of the job records
+  kRefusedWrite,   // a refused journal write that depends on the job record
+};
+
 class TaskDelegation {
  public:
   TaskDelegation(const ShardContext& context, ShardModel& model, RecordCommitter& committer, Journal& journal,
@@ -33,7 +41,7 @@
   void add_delegated_job(const std::string& key, DelegationRecord record, std::uint64_t revision);
   // Handles the cancellation of a job at its home shard: its tasks here are stopped. The delegation is
   // deleted once the last of them is gone.
-  void cancel_delegated_job(const JobPtr& job);
+  void cancel_delegated_job(const JobPtr& job, CancellationSource source);
   // Handles an event of the watch, which delivers events in order. Delegations to this shard are accepted
   // only here: an answer that arrived earlier or later than its event could restore a delegation that is
   // already completed and deleted.
--- a/src/coordination/state/state_client.cpp
+++ b/src/coordination/state/state_client.cpp
@@ -1,5 +1,8 @@
 #include "coordination/state/state_client.hpp"
 
+#include <spdlog/fmt/ranges.h>
+#include <spdlog/spdlog.h>
+
 #include <iterator>
 #include <memory>
 #include <utility>
@@ -59,7 +62,7 @@
     }
     if (reply.unanswered()) counters_.unanswered++;
     StateReply out = read_reply(reply);
-    notify_monitor(newest_when_sent, out);
+    notify_monitor(newest_when_sent, shared_request->call, out);
     shared_request->handler(std::move(out));
   });
 }
@@ -73,10 +76,16 @@
   return out;
 }
 
-void StateClient::notify_monitor(std::uint64_t newest_when_sent, const StateReply& reply) const {
+void StateClient::notify_monitor(std::uint64_t newest_when_sent, const HttpCall& call,
+                                 const StateReply& reply) const {
   if (monitor_ == nullptr) return;
   const std::uint64_t revision = reply.revision();
-  if (revision != 0) monitor_->on_revision(newest_when_sent, revision);
+  if (revision == 0) return;
+  if (revision < newest_when_sent) {
+    spdlog::warn("state service: the answer to {} {} shows revision {} after {}; failed guards: {}",
+                 call.method, call.path, revision, newest_when_sent, fmt::join(reply.failed_keys(), " "));
+  }
+  monitor_->on_revision(newest_when_sent, revision);
 }
 
 void StateClient::commit(RequestPriority priority, const Transaction& txn, StateHandler handler) {
--- a/src/coordination/state/state_client.hpp
+++ b/src/coordination/state/state_client.hpp
@@ -80,7 +80,7 @@
   void send(RequestPriority priority, QueuedRequest request);
   void refuse(StateHandler handler);
   [[nodiscard]] StateReply read_reply(const HttpReply& reply) const;
-  void notify_monitor(std::uint64_t newest_when_sent, const StateReply& reply) const;
+  void notify_monitor(std::uint64_t newest_when_sent, const HttpCall& call, const StateReply& reply) const;
 
   Env& env_;
   KeySpace key_space_;
--- a/src/recovery/rebuilt_records.cpp
+++ b/src/recovery/rebuilt_records.cpp
@@ -1,5 +1,7 @@
 #include "recovery/rebuilt_records.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -69,6 +71,8 @@
     out_.counts.ended_jobs++;
     const auto number = job_number(ref);
     if (number && stored_endings_.contains(*number)) return;
+    spdlog::info("recovery: job {}: rebuilt as {}, because {}", ref, wire_name(outcome.ending),
+                 job.ending ? "a source knows its ending" : "a source has it as cancelled");
     const int task_count = job.record ? job.record->spec.task_count : 0;
     out_.other_records.push_back(
         {keys::ending(shard, ref), ending_json(wire_name(outcome.ending), task_count)});
