Read the job record before a delegate takes a refused write for a cancellation

Cause: a delegate records the place of a delegated task on condition of the job's record. When that write was refused because of the job record, JournalOutcome took it for a cancellation: absence counted as evidence. The state service had lost the record instead. The delegate set JobRecord::cancelled in its memory, handed that over as evidence, and the rebuild, for which any source's cancellation counts, wrote the ending "aborted".

Change: the delegate reads the record (DelegatedJobCheck). It cancels the tasks only if the record shows the cancellation or an ending shows "aborted"; "done" drops them as done. Until then nothing of the job is placed or given back. A record that is missing without an ending, or open under another revision, contradicts earlier durable answers and is reported as lost state. Without recovery such a delegation is dropped as before. That works because a job record changes only with its cancellation and is deleted only in the write of the ending, so a sound service always shows one of the two.

--- a/src/bookkeeping/ledger.hpp
+++ b/src/bookkeeping/ledger.hpp
@@ -57,6 +57,8 @@
   std::string delegation;  // key of the delegation if the tasks were delegated to this shard
   RangeSet range;          // delegate: the tasks in the delegation
   std::uint64_t delegation_revision = 0;
+  // Delegate: the job record is being read because it was not as expected. Nothing is placed meanwhile.
+  bool record_check_inflight = false;
   bool succeeded_elsewhere = false;                 // delegate: tasks of the job completed outside it
   double idle_since = 0;                            // no task has been placed since
   std::map<std::string, DelegatedTasks> delegated;  // home: by delegation key
--- a/src/coordination/shard/journal.cpp
+++ b/src/coordination/shard/journal.cpp
@@ -14,13 +14,14 @@
 }  // namespace
 
 Journal::Journal(const ShardContext& context, ShardModel& model, RecordCommitter& committer,
-                 GangScheduler& gangs, TaskDelegation& delegation, WorkerCommands& commands)
+                 GangScheduler& gangs, TaskDelegation& delegation, DelegatedJobCheck& delegated_jobs,
+                 WorkerCommands& commands)
     : ctx_(context),
       model_(model),
       committer_(committer),
       segments_(ctx_, model_, committer_),
       builder_(ctx_, model_, delegation, segments_, pending_),
-      outcome_(ctx_, model_, {gangs, delegation, commands}, segments_, builder_, pending_) {}
+      outcome_(ctx_, model_, {gangs, delegated_jobs, commands}, segments_, builder_, pending_) {}
 
 void Journal::add_loaded_segment(int number, std::uint64_t revision, std::size_t bytes) {
   segments_.add_loaded(number, revision, bytes);
--- a/src/coordination/shard/journal.hpp
+++ b/src/coordination/shard/journal.hpp
@@ -18,6 +18,7 @@
 
 namespace mothslip {
 
+class DelegatedJobCheck;
 class GangScheduler;
 class RecordCommitter;
 class TaskDelegation;
@@ -26,7 +27,7 @@
 class Journal {
  public:
   Journal(const ShardContext& context, ShardModel& model, RecordCommitter& committer, GangScheduler& gangs,
-          TaskDelegation& delegation, WorkerCommands& commands);
+          TaskDelegation& delegation, DelegatedJobCheck& delegated_jobs, WorkerCommands& commands);
   Journal(const Journal&) = delete;
   Journal& operator=(const Journal&) = delete;
 
--- a/src/coordination/shard/journal_outcome.cpp
+++ b/src/coordination/shard/journal_outcome.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
+#include "coordination/shard/delegated_job_check.hpp"
 #include "coordination/shard/gang_scheduler.hpp"
-#include "coordination/shard/task_delegation.hpp"
 #include "coordination/shard/worker_commands.hpp"
 
 namespace mothslip {
@@ -14,7 +14,7 @@
     : ctx_(context),
       model_(model),
       gangs_(collaborators.gangs),
-      delegation_(collaborators.delegation),
+      delegated_jobs_(collaborators.delegated_jobs),
       commands_(collaborators.commands),
       segments_(segments),
       builder_(builder),
@@ -78,15 +78,15 @@
 
 // A rejection is expected only if jobs were cancelled (by this leader, or by the home shard of tasks
 // delegated to this shard), or if the leader of a shard to which tasks were to be delegated was deposed.
-// Nothing was written, so the changes that belong to other jobs are tried again.
+// Nothing was written, so the changes that belong to other jobs are tried again. The rejection alone does not
+// prove a cancellation at another shard, so the records of such jobs are read.
 bool JournalOutcome::on_refused(const JournalWrite& write, const std::vector<std::string>& failed) {
   const std::set<std::string> failed_keys(failed.begin(), failed.end());
   std::set<JobPtr> delegated_here;
   for (const std::string& key : failed_keys) {
     if (!explains_refusal(write, key, delegated_here)) return false;
   }
-  for (const JobPtr& job : delegated_here)
-    delegation_.cancel_delegated_job(job, CancellationSource::kRefusedWrite);
+  for (const JobPtr& job : delegated_here) delegated_jobs_.check(job);
   segments_.undo_created_segments(write);
   undo_delegations(write, failed_keys);
   segments_.undo_moved_placements(write);
--- a/src/coordination/shard/journal_outcome.hpp
+++ b/src/coordination/shard/journal_outcome.hpp
@@ -14,8 +14,8 @@
 
 namespace mothslip {
 
+class DelegatedJobCheck;
 class GangScheduler;
-class TaskDelegation;
 class WorkerCommands;
 
 class JournalOutcome {
@@ -23,7 +23,7 @@
   // Collaborators that act on changes that have become durable.
   struct Collaborators {
     GangScheduler& gangs;
-    TaskDelegation& delegation;
+    DelegatedJobCheck& delegated_jobs;
     WorkerCommands& commands;
   };
   JournalOutcome(const ShardContext& context, ShardModel& model, Collaborators collaborators,
@@ -50,7 +50,7 @@
   const ShardContext& ctx_;
   ShardModel& model_;
   GangScheduler& gangs_;
-  TaskDelegation& delegation_;
+  DelegatedJobCheck& delegated_jobs_;
   WorkerCommands& commands_;
   JournalSegments& segments_;
   JournalWriteBuilder& builder_;
--- a/src/coordination/shard/shard_leader.hpp
+++ b/src/coordination/shard/shard_leader.hpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "coordination/shard/cancellation.hpp"
+#include "coordination/shard/delegated_job_check.hpp"
 #include "coordination/shard/gang_scheduler.hpp"
 #include "coordination/shard/job_completion.hpp"
 #include "coordination/shard/journal.hpp"
@@ -116,6 +117,7 @@
   GangScheduler gangs_;
   Preemptor preemptor_;
   TaskDelegation delegation_;
+  DelegatedJobCheck delegated_jobs_;
   QuotaShares quotas_;
   WorkerLiveness liveness_;
   WorkerCommands commands_;
--- a/src/coordination/shard/task_delegation.cpp
+++ b/src/coordination/shard/task_delegation.cpp
@@ -44,11 +44,11 @@
     case CancellationSource::kNotice:
       return "the home shard has sent a notice";
     case CancellationSource::kRecordRead:
-      return "the job record was read while the shard loaded";
+      return "the record of its cancellation or ending was read";
     case CancellationSource::kRecordWatched:
-      return "the job record has changed or was deleted";
-    case CancellationSource::kRefusedWrite:
-      return "a journal write that depends on the job record was refused";
+      return "the watch has delivered its cancellation";
+    case CancellationSource::kRecordMissing:
+      return "it has no record";
   }
   return "";
 }
@@ -101,6 +101,14 @@
   commands_.stop_directly(job);
 }
 
+void TaskDelegation::complete_delegated_job(const JobPtr& job) {
+  spdlog::info("job {}: it has ended, its tasks delegated to shard {} are dropped", job->spec().ref,
+               ctx_.shard);
+  job->done.insert(job->range);
+  job->waiting.clear();
+  job->backoff.clear();
+}
+
 void TaskDelegation::on_delegation_event(const Json& event) {
   const std::string key = event.value(event.contains("put") ? "put" : "delete", "");
   const std::string own_prefix = keys::kDelegations + std::to_string(ctx_.shard) + "/";
@@ -239,7 +247,8 @@
   std::vector<DelegationWrite> batch;
   const auto max_writes = static_cast<std::size_t>(ctx_.state->max_writes_per_txn());
   for (auto& [key, job] : model_.jobs()) {
-    if (!job->delegated_here() || job->record.cancelled || job->progress_inflight || job->cleanup_inflight)
+    if (!job->delegated_here() || job->record.cancelled || job->progress_inflight || job->cleanup_inflight ||
+        job->record_check_inflight)
       continue;
     const bool return_waiting = should_return_waiting(*job);
     // Until a delegation is complete, its completions are kept in the journal's segments.
--- a/src/coordination/shard/task_delegation.hpp
+++ b/src/coordination/shard/task_delegation.hpp
@@ -26,9 +26,9 @@
 // How a delegate has learned that a job whose tasks it was given is cancelled.
 enum class CancellationSource {
   kNotice,         // a notice of the home shard
-  kRecordRead,     // the job records that it has read while it loaded
+  kRecordRead,     // the record of the cancellation or of the ending, which it has read
   kRecordWatched,  // the watch of the job records
-  kRefusedWrite,   // a refused journal write that depends on the job record
+  kRecordMissing,  // the job has no record, and the controller does not look for lost state
 };
 
 class TaskDelegation {
@@ -42,6 +42,8 @@
   // Handles the cancellation of a job at its home shard: its tasks here are stopped. The delegation is
   // deleted once the last of them is gone.
   void cancel_delegated_job(const JobPtr& job, CancellationSource source);
+  // Handles the end of a job at its home shard: no task of it has to run any more.
+  void complete_delegated_job(const JobPtr& job);
   // Handles an event of the watch, which delivers events in order. Delegations to this shard are accepted
   // only here: an answer that arrived earlier or later than its event could restore a delegation that is
   // already completed and deleted.
--- a/src/coordination/shard/task_placement.cpp
+++ b/src/coordination/shard/task_placement.cpp
@@ -79,6 +79,7 @@
 bool TaskPlacement::may_start(const Job& job, const Machine& machine) const {
   const double now = ctx_.env->now();
   if (job.waiting.empty() || job.is_over() || job.cancelling || !job.cancel_waiters.empty()) return false;
+  if (job.record_check_inflight) return false;
   if (!fits(job.demand, machine.room)) return false;
   if (machine.reserved_for && machine.reserved_for.get() != &job) return false;
   if (job.is_gang() && (now < job.next_gang_placement_at || !gangs_.gang_may_be_placed(job))) return false;
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -1,6 +1,8 @@
 // Tests of whole nodes in the simulated cluster when the state service loses its recent records.
 #include <gtest/gtest.h>
 
+#include "bookkeeping/records.hpp"
+#include "protocol/names.hpp"
 #include "recovery/unaccounted_jobs.hpp"
 #include "sim/checks.hpp"
 #include "sim/days.hpp"
@@ -65,6 +67,61 @@
   world.in(5, [&world] { resolve_unaccounted_jobs(world); });
 }
 
+// Returns a job id, from this number on, whose home shard has no machine that is up.
+std::string ref_without_machines_at_home(const World& world, int number) {
+  for (;; number++) {
+    const std::string ref = "job-00" + std::to_string(number);
+    const int home = shard_of(ref, world.options.nodes);
+    const bool has_machine =
+        std::any_of(world.workers.begin(), world.workers.end(), [&world, home](const auto& item) {
+          return !item.second->dead && shard_of(item.first, world.options.nodes) == home;
+        });
+    if (!has_machine) return ref;
+  }
+}
+
+// Whether the transaction records that a task of the job is placed.
+bool records_placement(const Json& transaction, const std::string& ref) {
+  const Json& changes = transaction["then"];
+  return std::any_of(changes.begin(), changes.end(), [&ref](const Json& change) {
+    return change.value("put", "").rfind(keys::kSegments, 0) == 0 &&
+           change["data"].dump().find(ref) != std::string::npos;
+  });
+}
+
+// A job that is accepted after the copy of the state is made which is restored later.
+struct JobLostWhileDelegated {
+  std::string ref;
+  bool was_lost = false;  // the copy was restored just before the delegate recorded the task's place
+};
+
+// Submits a job of one task whose home shard has no machine, while a long task keeps machines of other shards
+// up. The task is delegated. At the moment when its delegate records its place, the state is restored from
+// the copy that was made just before the submission. Afterwards `raised_revisions` other changes are made, so
+// that the revision need not show the loss.
+std::shared_ptr<JobLostWhileDelegated> lose_job_while_delegated(World& world, int raised_revisions) {
+  constexpr double kSubmitAt = 50;
+  auto lost = std::make_shared<JobLostWhileDelegated>();
+  world.submit(plain_job(world, 1, 2, 2, 3));
+  world.submit(plain_job(world, 2, 25, 1, 140, 1));
+  world.at(kSubmitAt, [&world, lost, raised_revisions] {
+    UserJob job = plain_job(world, 3, kSubmitAt, 1, 2);
+    job.ref = lost->ref = ref_without_machines_at_home(world, 4000);
+    job.body["ref"] = job.ref;
+    const auto copy = std::make_shared<StateService::Snapshot>(world.state.snapshot());
+    world.submit(std::move(job));
+    world.network.should_lose_commit = [&world, lost, copy, raised_revisions](const std::string&,
+                                                                              const Json& transaction) {
+      if (lost->was_lost || !records_placement(transaction, lost->ref)) return false;
+      lost->was_lost = true;
+      world.state.restore(*copy);
+      for (int i = 0; i < raised_revisions; i++) world.state.rewrite_unchanged("types");
+      return false;
+    };
+  });
+  return lost;
+}
+
 class StateLoss : public ::testing::TestWithParam<int> {
  protected:
   void SetUp() override { set_up_log(); }
@@ -299,6 +356,45 @@
   expect_incarnation(world, *lost_revisions > 0 ? 2 : 1);
 }
 
+// A refused write of a delegate was taken for a cancellation of the job although the state service had lost
+// the job's record: a job that nobody had cancelled was reported as cancelled and never ran (review/1).
+TEST_P(StateLoss, JobIsLostBeforeItsDelegateRecordsThePlacement) {
+  Options sim_options = options();
+  sim_options.nodes = 5;
+  sim_options.market_machines = 1;
+  sim_options.zones = {"a"};
+  World world(sim_options);
+  const auto lost = lose_job_while_delegated(world, 0);
+  world.faults_end_at = 90;
+
+  world.run_until(300);
+
+  EXPECT_TRUE(lost->was_lost);
+  EXPECT_EQ(world.jobs.at(lost->ref).completed.size(), 1u) << lost->ref << " never ran";
+  expect_invariants_hold(world);
+  expect_incarnation(world, 2);
+}
+
+// The same while other writers have raised the revision beyond the newest that the delegate knows: nothing in
+// the refusal itself shows that records were lost.
+TEST_P(StateLoss, JobIsLostBeforeItsDelegateRecordsThePlacementAndTheRevisionCatchesUp) {
+  constexpr int kRaisedRevisions = 40;
+  Options sim_options = options();
+  sim_options.nodes = 5;
+  sim_options.market_machines = 1;
+  sim_options.zones = {"a"};
+  World world(sim_options);
+  const auto lost = lose_job_while_delegated(world, kRaisedRevisions);
+  world.faults_end_at = 90;
+
+  world.run_until(300);
+
+  EXPECT_TRUE(lost->was_lost);
+  EXPECT_EQ(world.jobs.at(lost->ref).completed.size(), 1u) << lost->ref << " never ran";
+  expect_invariants_hold(world);
+  expect_incarnation(world, 2);
+}
+
 // With recovery disabled, controllers modify no records from the start of a rebuild on. They behave as the
 // version in production, which knows only one form of `meta`.
 TEST(RecoveryDisabled, RecordsOfRebuildsAreNotModified) {
