A deleted or missing job record is not taken for a cancellation at load and in the watch

A leader that loads its shard took a delegated job without a job record for cancelled, and the watch took every deletion of a job record for a cancellation, also that of a job that is done. Both set JobRecord::cancelled, which is handed over as evidence when records are rebuilt: a job that is done, or one whose record is lost, can then be rebuilt as "aborted".

Change: a record that shows a cancellation cancels as before; a missing or deleted record is checked by DelegatedJobCheck, which reads the ending.

--- a/src/coordination/shard/shard_leader.cpp
+++ b/src/coordination/shard/shard_leader.cpp
@@ -40,7 +40,8 @@
       quotas_(ctx_, model_, committer_, rules_),
       liveness_(ctx_, model_, gangs_),
       commands_(ctx_, model_, committer_, gangs_, liveness_),
-      loader_(ctx_, model_, committer_, journal_, progress_, delegation_, quotas_, [this] { on_loaded(); }),
+      loader_(ctx_, model_, committer_, journal_, progress_, delegation_, delegated_jobs_, quotas_,
+              [this] { on_loaded(); }),
       unaccounted_tasks_(ctx_, model_, committer_, cancellation_),
       summaries_(ctx_, model_, rules_) {}
 
--- a/src/coordination/shard/shard_loader.cpp
+++ b/src/coordination/shard/shard_loader.cpp
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <vector>
 
+#include "coordination/shard/delegated_job_check.hpp"
 #include "coordination/shard/journal.hpp"
 #include "coordination/shard/progress_records.hpp"
 #include "coordination/shard/quota_shares.hpp"
@@ -24,13 +25,15 @@
 
 ShardLoader::ShardLoader(const ShardContext& context, ShardModel& model, RecordCommitter& committer,
                          Journal& journal, ProgressRecords& progress, TaskDelegation& delegation,
-                         QuotaShares& quotas, std::function<void()> on_loaded)
+                         DelegatedJobCheck& delegated_jobs, QuotaShares& quotas,
+                         std::function<void()> on_loaded)
     : ctx_(context),
       model_(model),
       committer_(committer),
       journal_(journal),
       progress_(progress),
       delegation_(delegation),
+      delegated_jobs_(delegated_jobs),
       quotas_(quotas),
       on_loaded_(std::move(on_loaded)) {}
 
@@ -150,7 +153,8 @@
 }
 
 // Drops delegated tasks whose job has ended or was cancelled, which can have happened while this shard had no
-// leader. The open jobs are read with one list call per home shard. When each job was read separately, a
+// leader. A job without a record is checked further, because a missing record alone proves neither. The open
+// jobs are read with one list call per home shard. When each job was read separately, a
 // hundred delegations delayed the activation of a shard by 15 s while the state service was slow.
 void ShardLoader::check_delegated_jobs(std::set<int> home_shards) {
   if (home_shards.empty()) {
@@ -169,14 +173,19 @@
                           }));
           return;
         }
-        std::set<std::string> open_refs;
+        std::map<std::string, bool> cancelled_by_ref;
         for (const StateItem& item : items) {
-          if (item.data.is_object() && item.data.value("phase", "") != "aborted")
-            open_refs.insert(item.key.substr(keys::job_records(home_shard).size()));
+          const bool is_cancelled = item.data.is_object() && item.data.value("phase", "") == "aborted";
+          cancelled_by_ref[item.key.substr(keys::job_records(home_shard).size())] = is_cancelled;
         }
         for (const auto& [name, job] : model_.jobs()) {
-          if (job->delegated_here() && job->home_shard == home_shard && open_refs.count(job->spec().ref) == 0)
+          if (!job->delegated_here() || job->home_shard != home_shard) continue;
+          const auto found = cancelled_by_ref.find(job->spec().ref);
+          if (found == cancelled_by_ref.end()) {
+            delegated_jobs_.check(job);
+          } else if (found->second) {
             delegation_.cancel_delegated_job(job, CancellationSource::kRecordRead);
+          }
         }
         home_shards.erase(home_shard);
         check_delegated_jobs(std::move(home_shards));
@@ -312,15 +321,7 @@
   const std::string own_prefix = keys::job_records(ctx_.shard);
   const std::string ref = key.substr(key.rfind('/') + 1);
   if (key.compare(0, own_prefix.size(), own_prefix) != 0) {
-    // This is a job of another shard. Its tasks that were delegated to this shard are dropped once the job is
-    // cancelled or has ended.
-    const bool is_over = !put || (event.contains("data") && event["data"].value("phase", "") == "aborted");
-    if (!is_over) return;
-    const std::string prefix = keys::delegations(ctx_.shard, ref);
-    for (auto it = model_.jobs().lower_bound(prefix);
-         it != model_.jobs().end() && it->first.rfind(prefix, 0) == 0; ++it) {
-      delegation_.cancel_delegated_job(it->second, CancellationSource::kRecordWatched);
-    }
+    on_delegated_job_event(event, ref);
     return;
   }
   if (!put || !event.contains("data")) return;
@@ -329,6 +330,24 @@
   add_if_new(std::move(*job_record), event.value("stamp", std::uint64_t{0}));
 }
 
+// Handles the change of a job of another shard. Its tasks that were delegated to this shard are dropped once
+// the job is cancelled. A deleted record does not show how the job has ended; usually all its tasks are done.
+void ShardLoader::on_delegated_job_event(const Json& event, const std::string& ref) {
+  const bool is_deleted = !event.contains("put");
+  const bool is_cancelled =
+      !is_deleted && event.contains("data") && event["data"].value("phase", "") == "aborted";
+  if (!is_deleted && !is_cancelled) return;
+  const std::string prefix = keys::delegations(ctx_.shard, ref);
+  for (auto it = model_.jobs().lower_bound(prefix);
+       it != model_.jobs().end() && it->first.rfind(prefix, 0) == 0; ++it) {
+    if (is_cancelled) {
+      delegation_.cancel_delegated_job(it->second, CancellationSource::kRecordWatched);
+    } else {
+      delegated_jobs_.check(it->second);
+    }
+  }
+}
+
 void ShardLoader::admit(JobRecord job_record, std::uint64_t revision) {
   if (revision > model_.watched_revision()) add_if_new(std::move(job_record), revision);
 }
--- a/src/coordination/shard/shard_loader.hpp
+++ b/src/coordination/shard/shard_loader.hpp
@@ -13,6 +13,7 @@
 
 namespace mothslip {
 
+class DelegatedJobCheck;
 class Journal;
 class ProgressRecords;
 class QuotaShares;
@@ -22,8 +23,8 @@
 class ShardLoader {
  public:
   ShardLoader(const ShardContext& context, ShardModel& model, RecordCommitter& committer, Journal& journal,
-              ProgressRecords& progress, TaskDelegation& delegation, QuotaShares& quotas,
-              std::function<void()> on_loaded);
+              ProgressRecords& progress, TaskDelegation& delegation, DelegatedJobCheck& delegated_jobs,
+              QuotaShares& quotas, std::function<void()> on_loaded);
 
   // Reads the shard's records, then calls `on_loaded`. Must be called once.
   void load();
@@ -52,6 +53,7 @@
   void load_placements(int number, const SegmentRecord& record);
   void on_event(const Json& event);
   void on_job_event(const Json& event);
+  void on_delegated_job_event(const Json& event, const std::string& ref);
   void add_if_new(JobRecord job_record, std::uint64_t revision);
 
   const ShardContext& ctx_;
@@ -60,6 +62,7 @@
   Journal& journal_;
   ProgressRecords& progress_;
   TaskDelegation& delegation_;
+  DelegatedJobCheck& delegated_jobs_;
   QuotaShares& quotas_;
   CallbackGuard callback_guard_;
   std::function<void()> on_loaded_;
