Answers that may only show a loss of records are not passed on as facts

A guard that fails, or a record that is missing, then only shows what the service has lost. On related paths one such answer was enough as well: a missing parts/P counts as acknowledgement of a cancellation (Cancellation::check_owner_changed), events of a watch change the model.

Change: from the answer on that shows the loss, StateClient reports kUnknown, except for successful commits: these are facts, and what the node knows of them is evidence (an accepted job must not be forgotten because its acceptance was written after the restore). kUnknown leads to a retry everywhere, which the suspension ends.

--- a/src/coordination/state/state_client.cpp
+++ b/src/coordination/state/state_client.cpp
@@ -63,6 +63,7 @@
     if (reply.unanswered()) counters_.unanswered++;
     StateReply out = read_reply(reply);
     notify_monitor(newest_when_sent, shared_request->call, out);
+    if (!is_credible(*shared_request, out)) out = {Outcome::kUnknown, Json()};
     shared_request->handler(std::move(out));
   });
 }
@@ -82,12 +83,19 @@
   const std::uint64_t revision = reply.revision();
   if (revision == 0) return;
   if (revision < newest_when_sent) {
-    spdlog::warn("state service: the answer to {} {} shows revision {} after {}; failed guards: {}",
+    spdlog::warn("state service: the answer to {} {} shows revision {} after {}, failed guards: [{}]",
                  call.method, call.path, revision, newest_when_sent, fmt::join(reply.failed_keys(), " "));
   }
   monitor_->on_revision(newest_when_sent, revision);
 }
 
+// A write that was executed is a fact, whatever the service has lost, and what the node knows of it becomes
+// evidence for the rebuild. Any other answer may only show what the service has lost.
+bool StateClient::is_credible(const QueuedRequest& request, const StateReply& reply) const {
+  if (monitor_ == nullptr || !monitor_->is_state_lost()) return true;
+  return request.writes > 0 && reply.ok();
+}
+
 void StateClient::commit(RequestPriority priority, const Transaction& txn, StateHandler handler) {
   commit_body(priority, txn.body(), static_cast<int>(txn.changes.size()), std::move(handler));
 }
--- a/src/coordination/state/state_client.hpp
+++ b/src/coordination/state/state_client.hpp
@@ -3,6 +3,10 @@
 // Calls wait in one queue per priority class until the limits allow them (request_queue.hpp). Each handler is
 // called exactly once, and never from within the function that it was passed to. Failures are reported as an
 // Outcome; no function throws.
+//
+// From the answer on that shows a loss of records (StateMonitor::is_state_lost), answers are reported as
+// kUnknown, because records and guards that the service has lost look as if they had been deleted. Only
+// successful commits are still reported as such.
 #pragma once
 
 #include <cstdint>
@@ -80,6 +84,8 @@
   void send(RequestPriority priority, QueuedRequest request);
   void refuse(StateHandler handler);
   [[nodiscard]] StateReply read_reply(const HttpReply& reply) const;
+  // Whether the node may act on the reply although the service may have lost records.
+  [[nodiscard]] bool is_credible(const QueuedRequest& request, const StateReply& reply) const;
   void notify_monitor(std::uint64_t newest_when_sent, const HttpCall& call, const StateReply& reply) const;
 
   Env& env_;
