A refused write of a shard's own records shows a loss, not a reason to restart the shard

A refusal because the job record or the progress record of a shard's own job has changed, without an unanswered copy of the transaction, contradicts earlier answers: only the shard's leader writes them, one transaction at a time. It was taken as an ordinary conflict, and the shard was restarted. With recovery on, while the loss is not noticed otherwise, the leader's memory (placements and completions newer than the copy) was gone with it, and the new leader loaded the old records as if they were complete.

Change: RecordCommitter reports job and progress records in the same way. The controller is then suspended before the restart takes effect, and the memory becomes evidence. Delegation records, which two leaders write, show nothing.

Measured: RefusedTransaction.* with scripted answers. AChangedRecordThatOnlyTheLeaderWritesShowsALoss failed before for job and progress records and passes now; the other two hold what is no contradiction. The effect on a whole cluster was not reproduced.

--- a/src/coordination/shard/record_committer.cpp
+++ b/src/coordination/shard/record_committer.cpp
@@ -129,12 +129,7 @@
     write->effects = write->visible_effects();
     return find_revision(write, 0, reply.revision());
   }
-  const bool segment_changed = std::any_of(failed.begin(), failed.end(), [this](const std::string& key) {
-    return key.rfind(keys::segments(ctx_.shard), 0) == 0;
-  });
-  // This text is shown to operators as the reason in the recovery status and stays as it is.
-  if (is_still_owner && segment_changed && !write->has_unanswered_copy)
-    ctx_.on_state_contradiction("a page of the journal has changed");
+  if (is_still_owner && !write->has_unanswered_copy) report_contradiction(*write, failed);
   const bool too_large =
       reply.outcome == Outcome::kInvalid && !write->has_unanswered_copy && reduce_write_sizes();
   if ((too_large || (!failed.empty() && is_still_owner && !changed_key_failed)) && write->on_conflict &&
@@ -147,6 +142,27 @@
   ctx_.restart_shard("the state service rejected a transaction: " + dump_json(reply.body));
 }
 
+// Reports lost state if a rejection shows that a record which only this leader writes has changed. The shard
+// is then not restarted: the leader's memory becomes evidence for the rebuild.
+void RecordCommitter::report_contradiction(const Write& write, const std::vector<std::string>& failed) const {
+  const auto has_prefix = [](const std::string& key, const std::string& prefix) {
+    return key.rfind(prefix, 0) == 0;
+  };
+  for (const std::string& key : failed) {
+    if (has_prefix(key, keys::segments(ctx_.shard))) {
+      // This text is shown to operators as the reason in the recovery status and stays as it is.
+      ctx_.on_state_contradiction("a page of the journal has changed");
+      return;
+    }
+    const bool only_leader_writes =
+        has_prefix(key, keys::job_records(ctx_.shard)) || has_prefix(key, keys::progress_records(ctx_.shard));
+    if (only_leader_writes && write.changed_keys.count(key) > 0) {
+      ctx_.on_state_contradiction("a record of this shard has changed");
+      return;
+    }
+  }
+}
+
 // Called when the state service rejects a transaction as invalid, which means that its limits are now lower
 // than announced. Reduces the sizes of all later writes. Returns false if they cannot be reduced further.
 bool RecordCommitter::reduce_write_sizes() {
--- a/src/coordination/shard/record_committer.hpp
+++ b/src/coordination/shard/record_committer.hpp
@@ -48,6 +48,7 @@
   static constexpr int kMaxInFlight[kSlotCount] = {2, 1, 2, 1};
   void try_commit(const std::shared_ptr<Write>& write);
   void on_refused(const std::shared_ptr<Write>& write, const StateReply& reply);
+  void report_contradiction(const Write& write, const std::vector<std::string>& failed) const;
   bool reduce_write_sizes();
   void find_revision(const std::shared_ptr<Write>& write, std::size_t effect_index, std::uint64_t revision);
   void settle(const Write& write, std::uint64_t revision);
