--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -1,6 +1,8 @@
 // Tests of whole nodes in the simulated cluster when the state service loses its recent records.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "bookkeeping/records.hpp"
 #include "protocol/names.hpp"
 #include "recovery/unaccounted_jobs.hpp"
@@ -69,15 +71,16 @@
 
 // Returns a job id, from this number on, whose home shard has no machine that is up.
 std::string ref_without_machines_at_home(const World& world, int number) {
-  for (;; number++) {
-    const std::string ref = "job-00" + std::to_string(number);
-    const int home = shard_of(ref, world.options.nodes);
-    const bool has_machine =
-        std::any_of(world.workers.begin(), world.workers.end(), [&world, home](const auto& item) {
-          return !item.second->dead && shard_of(item.first, world.options.nodes) == home;
-        });
-    if (!has_machine) return ref;
-  }
+  const auto has_machine = [&world](int shard) {
+    return std::any_of(world.workers.begin(), world.workers.end(), [&world, shard](const auto& item) {
+      return !item.second->dead && shard_of(item.first, world.options.nodes) == shard;
+    });
+  };
+  std::string ref;
+  do {
+    ref = "job-00" + std::to_string(number++);
+  } while (has_machine(shard_of(ref, world.options.nodes)));
+  return ref;
 }
 
 // Whether the transaction records that a task of the job is placed.
