--- a/tests/delegated_job_test.cpp
+++ b/tests/delegated_job_test.cpp
@@ -11,6 +11,7 @@
 #include "sim/scripted_env.hpp"
 
 using namespace mothslip;
+using mothslip::sim::scripted_settings;
 using mothslip::sim::ScriptedEnv;
 
 namespace {
@@ -27,12 +28,7 @@
 const char* const kEmptyList = R"({"items":[],"more":false,"epoch":9})";
 
 Settings settings() {
-  Settings out;
-  out.state = "10.2.0.1:2379";
-  out.state_rps = 1000;
-  out.state_write_rps = 300;
-  out.txn_ops = 24;
-  out.value_kb = 8;
+  Settings out = scripted_settings();
   Team team;
   team.name = "red";
   out.teams = {team};
--- a/tests/job_status_test.cpp
+++ b/tests/job_status_test.cpp
@@ -7,6 +7,7 @@
 #include "sim/scripted_env.hpp"
 
 using namespace mothslip;
+using mothslip::sim::scripted_settings;
 using mothslip::sim::ScriptedEnv;
 
 namespace {
@@ -18,15 +19,6 @@
 const char* const kMissingRecord = R"({"epoch":9})";
 const char* const kDoneRecord = R"({"k":"e","data":{"phase":"done","pieces":3},"stamp":9})";
 
-Settings settings() {
-  Settings out;
-  out.state = "10.2.0.1:2379";
-  out.state_rps = 1000;
-  out.state_write_rps = 300;
-  out.txn_ops = 24;
-  return out;
-}
-
 class JobStatuses : public ::testing::Test {
  protected:
   // Requests the status of the job. The finding is appended to `findings` when the read completes.
@@ -37,7 +29,7 @@
     return found.kind == JobFinding::Kind::kStatus && found.status.phase == phase;
   }
 
-  Settings settings_ = settings();
+  Settings settings_ = scripted_settings();
   ScriptedEnv env_;
   StateClient state_{env_, settings_};
   std::optional<JobFinding> owned_;
--- a/tests/record_committer_test.cpp
+++ b/tests/record_committer_test.cpp
@@ -10,6 +10,7 @@
 #include "sim/scripted_env.hpp"
 
 using namespace mothslip;
+using mothslip::sim::scripted_settings;
 using mothslip::sim::ScriptedEnv;
 
 namespace {
@@ -18,16 +19,6 @@
 constexpr std::uint64_t kFencingToken = 5;
 constexpr std::uint64_t kRecordRevision = 7;
 
-Settings settings() {
-  Settings out;
-  out.state = "10.2.0.1:2379";
-  out.state_rps = 1000;
-  out.state_write_rps = 300;
-  out.txn_ops = 24;
-  out.value_kb = 8;
-  return out;
-}
-
 class RefusedTransaction : public ::testing::Test {
  protected:
   ShardContext context() {
@@ -55,7 +46,7 @@
     env_.answer(409, dump_json({{"failed", {failed}}, {"epoch", 40}}));
   }
 
-  Settings settings_ = settings();
+  Settings settings_ = scripted_settings();
   ScriptedEnv env_;
   StateClient state_{env_, settings_};
   int restarts_ = 0;
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -144,6 +144,21 @@
       EXPECT_EQ(process.node->incarnation(), world.nodes.front().node->incarnation());
     }
   }
+  // Loses a job while its only task is delegated (lose_job_while_delegated), and checks that it runs.
+  static void run_with_job_lost_while_delegated(int raised_revisions) {
+    Options sim_options = options();
+    sim_options.nodes = 5;
+    sim_options.market_machines = 1;
+    sim_options.zones = {"a"};
+    World world(sim_options);
+    const auto lost = lose_job_while_delegated(world, raised_revisions);
+    world.faults_end_at = 90;
+    world.run_until(300);
+    EXPECT_TRUE(lost->was_lost);
+    EXPECT_EQ(world.jobs.at(lost->ref).completed.size(), 1u) << lost->ref << " never ran";
+    expect_invariants_hold(world);
+    expect_incarnation(world, 2);
+  }
   // Runs until `ends_at` and checks the result. From `operator_starts_at` on, an operator resolves
   // unaccounted jobs. The faults count as ended kDecisionsDurationSeconds later, when the operator has made
   // all decisions.
@@ -361,41 +376,13 @@
 
 // A refused write of a delegate was taken for a cancellation of the job although the state service had lost
 // the job's record: a job that nobody had cancelled was reported as cancelled and never ran (review/1).
-TEST_P(StateLoss, JobIsLostBeforeItsDelegateRecordsThePlacement) {
-  Options sim_options = options();
-  sim_options.nodes = 5;
-  sim_options.market_machines = 1;
-  sim_options.zones = {"a"};
-  World world(sim_options);
-  const auto lost = lose_job_while_delegated(world, 0);
-  world.faults_end_at = 90;
-
-  world.run_until(300);
-
-  EXPECT_TRUE(lost->was_lost);
-  EXPECT_EQ(world.jobs.at(lost->ref).completed.size(), 1u) << lost->ref << " never ran";
-  expect_invariants_hold(world);
-  expect_incarnation(world, 2);
-}
+TEST_P(StateLoss, JobIsLostBeforeItsDelegateRecordsThePlacement) { run_with_job_lost_while_delegated(0); }
 
 // The same while other writers have raised the revision beyond the newest that the delegate knows: nothing in
 // the refusal itself shows that records were lost.
 TEST_P(StateLoss, JobIsLostBeforeItsDelegateRecordsThePlacementAndTheRevisionCatchesUp) {
   constexpr int kRaisedRevisions = 40;
-  Options sim_options = options();
-  sim_options.nodes = 5;
-  sim_options.market_machines = 1;
-  sim_options.zones = {"a"};
-  World world(sim_options);
-  const auto lost = lose_job_while_delegated(world, kRaisedRevisions);
-  world.faults_end_at = 90;
-
-  world.run_until(300);
-
-  EXPECT_TRUE(lost->was_lost);
-  EXPECT_EQ(world.jobs.at(lost->ref).completed.size(), 1u) << lost->ref << " never ran";
-  expect_invariants_hold(world);
-  expect_incarnation(world, 2);
+  run_with_job_lost_while_delegated(kRaisedRevisions);
 }
 
 // With recovery disabled, controllers modify no records from the start of a rebuild on. They behave as the
--- a/tests/sim/scripted_env.hpp
+++ b/tests/sim/scripted_env.hpp
@@ -6,10 +6,22 @@
 #include <utility>
 #include <vector>
 
+#include "protocol/settings.hpp"
 #include "transport/env.hpp"
 
 namespace mothslip::sim {
 
+// Settings under which the state service's limits delay no call of a test.
+inline Settings scripted_settings() {
+  Settings out;
+  out.state = "10.2.0.1:2379";
+  out.state_rps = 1000;
+  out.state_write_rps = 300;
+  out.txn_ops = 24;
+  out.value_kb = 8;
+  return out;
+}
+
 class ScriptedEnv final : public Env {
  public:
   struct Call {
--- a/tests/state_client_test.cpp
+++ b/tests/state_client_test.cpp
@@ -10,6 +10,7 @@
 #include "sim/scripted_env.hpp"
 
 using namespace mothslip;
+using mothslip::sim::scripted_settings;
 using mothslip::sim::ScriptedEnv;
 
 namespace {
@@ -19,15 +20,6 @@
 const char* const kAnswerAfterLoss = R"({"epoch":35})";
 const char* const kConflictAfterLoss = R"({"failed":["w/j/1/job-000109"],"epoch":35})";
 
-Settings settings() {
-  Settings out;
-  out.state = "10.2.0.1:2379";
-  out.state_rps = 1000;
-  out.state_write_rps = 300;
-  out.txn_ops = 24;
-  return out;
-}
-
 // Detects a loss only by a lower revision.
 class Monitor final : public StateMonitor {
  public:
@@ -56,7 +48,7 @@
     state_.commit(RequestPriority::kLaunch, txn, append_outcome());
   }
 
-  Settings settings_ = settings();
+  Settings settings_ = scripted_settings();
   ScriptedEnv env_;
   Monitor monitor_;
   StateClient state_{env_, settings_, {}, &monitor_};
