A surviving job record shows when its job was accepted

Its record survives, its owner does not know it, and it was held for an operator, although nobody can have ended it.

That the owner does not know the job was taken for "may have ended" without comparing when the record was written with since when the owner knows all endings.

Change: the revision of a surviving job record counts as that of the acceptance. A record changes only with a cancellation, which is looked at before.

Test: StateLoss.JobIsAcceptedByTheRestoredServiceBeforeTheLossIsNoticed. The state is restored at the moment at which the acceptance arrives. The test also holds that such a job is not held because its revision is lower than what its owner has read.

--- a/src/recovery/evidence.hpp
+++ b/src/recovery/evidence.hpp
@@ -42,8 +42,8 @@
   std::optional<JobRecord> record;  // the description; without it, only the job id is known
   std::optional<JobPhase> ending;   // kDone or kCancelled
   bool has_stored_record = false;   // the surviving records contain it as open
-  // The revision of the write with which a controller accepted it recently, as far as the sources remember.
-  // If sources differ, the lowest one. 0: accepted at a revision that is not known.
+  // The revision of the write that accepted it, from a controller that accepted it recently or from its
+  // surviving record. If sources differ, the lowest one. 0: accepted at a revision that is not known.
   std::optional<std::uint64_t> accepted_at_revision;
   bool open_at_owner = false;        // the owner of its home shard had it as open
   bool without_description = false;  // an earlier rebuild held all its tasks for lack of a description
--- a/src/recovery/surviving_records.cpp
+++ b/src/recovery/surviving_records.cpp
@@ -17,18 +17,18 @@
  public:
   Reader(StateClient& store, const Incarnation& incarnation, Evidence known_evidence,
          SurvivingRecordsHandler handler)
-      : store_(store), current_prefix_(incarnation.prefix), handler_(std::move(handler)) {
+      : store_(store), key_space_(incarnation), handler_(std::move(handler)) {
     out_.evidence = std::move(known_evidence);
     using ItemHandler = void (Reader::*)(const StateItem&);
     const auto add_step = [this](const std::string& prefix, ItemHandler handle_item) {
       steps_.push_back({prefix, handle_item});
     };
-    add_step(current_prefix_ + keys::kJobRecords, &Reader::add_job_record);
-    add_step(current_prefix_ + keys::kProgress, &Reader::add_progress);
-    add_step(current_prefix_ + keys::kDelegations, &Reader::add_delegation);
-    add_step(current_prefix_ + keys::kSegments, &Reader::add_segment);
-    add_step(current_prefix_ + keys::kUnaccounted, &Reader::add_unaccounted);
-    add_step(current_prefix_ + keys::kEndings, &Reader::add_ending);
+    add_step(incarnation.prefix + keys::kJobRecords, &Reader::add_job_record);
+    add_step(incarnation.prefix + keys::kProgress, &Reader::add_progress);
+    add_step(incarnation.prefix + keys::kDelegations, &Reader::add_delegation);
+    add_step(incarnation.prefix + keys::kSegments, &Reader::add_segment);
+    add_step(incarnation.prefix + keys::kUnaccounted, &Reader::add_unaccounted);
+    add_step(incarnation.prefix + keys::kEndings, &Reader::add_ending);
     for (const std::string& earlier_prefix : incarnation.earlier_prefixes)
       add_step(earlier_prefix + keys::kEndings, &Reader::add_ending);
   }
@@ -89,6 +89,8 @@
     if (!job_record) return log_unreadable(item, error);
     JobEvidence job;
     job.has_stored_record = true;
+    // The controller that accepted the job may not have been answered, or may have ended since.
+    job.accepted_at_revision = key_space_.to_logical_revision(item.revision);
     const std::string ref = job_record->spec.ref;
     job.record = std::move(job_record);
     out_.evidence.jobs[ref].merge(job);
@@ -137,7 +139,7 @@
   }
 
   StateClient& store_;
-  std::string current_prefix_;
+  KeySpace key_space_;  // of the surviving records
   SurvivingRecordsHandler handler_;
   std::vector<Step> steps_;
   std::size_t step_index_ = 0;
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -512,6 +512,38 @@
   expect_incarnation(world, 2);
 }
 
+// Guards against holding a job that was first accepted by the restored state service, before any controller
+// had noticed the loss: its revision is lower than those that its owner has read.
+TEST_P(StateLoss, JobIsAcceptedByTheRestoredServiceBeforeTheLossIsNoticed) {
+  constexpr double kCopiedAt = 30;
+  constexpr double kSubmitAt = 40;
+  World world(options_of_single_owner_scenarios());
+  submit_jobs(world, 2, 38);
+  const auto copy = std::make_shared<StateService::Snapshot>();
+  world.at(kCopiedAt, [&world, copy] { *copy = world.state.snapshot(); });
+  std::string ref;
+  world.at(kSubmitAt, [&world, &ref, copy] {
+    const JobOfOneOwner job = add_job_of_other_owner(world, 4000, 2);
+    ref = job.ref;
+    const std::string record_key = keys::job_record(shard_of(ref, world.options.nodes), ref);
+    const auto is_restored = std::make_shared<bool>(false);
+    world.network.should_lose_commit = [&world, copy, record_key, is_restored](const std::string&,
+                                                                               const Json& transaction) {
+      const bool is_acceptance = transaction["then"].dump().find('"' + record_key + '"') != std::string::npos;
+      if (is_acceptance && !std::exchange(*is_restored, true)) world.state.restore(*copy);
+      return false;
+    };
+    world.users.submit_to_node(job.ref, job.accepting_node, [&world, job] { world.users.poll(job.ref); });
+  });
+  world.faults_end_at = kSubmitAt + 40;
+
+  world.run_until(300);
+
+  EXPECT_EQ(world.jobs.at(ref).completed.size(), 2u) << ref << " never ran";
+  expect_invariants_hold(world);
+  expect_incarnation(world, 2);
+}
+
 // With recovery disabled, controllers modify no records from the start of a rebuild on. They behave as the
 // version in production, which knows only one form of `meta`.
 TEST(RecoveryDisabled, RecordsOfRebuildsAreNotModified) {
