A job that is submitted again for lack of a description may have run before

After a rebuild that knew a job only from workers, its user submits it again, so that its description returns. That acceptance too was remembered as the one of a new job. If records were lost again before the owner had read it, the job counted as open, and its tasks, which had been held because they may have completed, were started.

Change: an acceptance proves nothing for a job that an earlier rebuild held for lack of a description. (If its owner has the job, what the owner says counts, as before.)

Test: AcceptedJob.MayHaveEndedIfAnEarlierRebuildHeldItForLackOfADescription failed before. Shown on the evidence only; the two losses were not reproduced in a cluster.

--- a/src/recovery/evidence.cpp
+++ b/src/recovery/evidence.cpp
@@ -165,13 +165,14 @@
 // A job is certainly open only if the evidence covers the owner of its home shard, and
 //  * that owner had it as open, or
 //  * it was accepted after every revision since when that owner knows all endings. The owner then does not
-//    know the job because it had not read it yet, and no task of it has started.
+//    know the job because it had not read it yet, and no task of it has started. This does not hold for a job
+//    that an earlier rebuild held for lack of a description: it may have run before it was submitted again.
 // An owner also does not know a job that ended before it took the shard over. Therefore an acceptance alone
 // proves nothing. Any other job may have ended after the surviving records were written.
 bool is_certainly_open(const JobEvidence& job, const std::optional<OwnerEvidence>& home_owner) {
   if (!home_owner || job.may_have_ended) return false;
-  const bool unread_by_owner =
-      job.accepted_at_revision && *job.accepted_at_revision > home_owner->endings_known_since;
+  const bool unread_by_owner = !job.without_description && job.accepted_at_revision &&
+                               *job.accepted_at_revision > home_owner->endings_known_since;
   return job.open_at_owner || unread_by_owner;
 }
 
--- a/tests/recovery_merge_test.cpp
+++ b/tests/recovery_merge_test.cpp
@@ -45,6 +45,7 @@
   if (*rc::gen::arbitrary<bool>()) out.accepted_at_revision = *rc::gen::inRange<std::uint64_t>(0, 12);
   out.open_at_owner = *rc::gen::arbitrary<bool>();
   out.may_have_ended = *rc::gen::inRange(0, 5) == 0;
+  out.without_description = *rc::gen::inRange(0, 5) == 0;
   for (std::uint32_t task = 0; task < kTaskCount; task++) {
     const int state = *rc::gen::inRange(0, 5);
     if (state == 0) out.done.add(task);
@@ -172,6 +173,7 @@
       RC_ASSERT(!job.may_have_ended);
       // A job that its owner does not know may have ended before the owner took over.
       RC_ASSERT(job.open_at_owner || job.accepted_at_revision.value_or(0) > home_owner->endings_known_since);
+      RC_ASSERT(job.open_at_owner || !job.without_description);
       RC_ASSERT(scope.nothing_runs || job.placements.count(static_cast<int>(task)) == 0);
       for (const auto& [shard, tasks] : job.delegated)
         RC_ASSERT(!tasks.contains(task) || scope.covers_owner(shard));
@@ -229,6 +231,14 @@
   EXPECT_TRUE(may_have_ended(merge_all({second, first})));
 }
 
+// Guards against starting a job again that an earlier rebuild could not account for: its user has submitted
+// it again, because its description was lost, and its owner has not read that yet.
+TEST(AcceptedJob, MayHaveEndedIfAnEarlierRebuildHeldItForLackOfADescription) {
+  NodeMemory memory = memory_with_accepted_job(kOwnerToken + 1);
+  for (ShardMemory& owned : memory.owned) owned.without_description = {job_name(0)};
+  EXPECT_TRUE(may_have_ended(to_evidence(memory)));
+}
+
 // Controllers of an earlier version say neither when they accepted a job nor since when they know all
 // endings.
 TEST(AcceptedJob, MayHaveEndedIfAnEarlierVersionReportsIt) {
