Only the last owner of a shard shows that a job is open

A controller that was isolated still had a job as open; the later owner, which ended it, had been restarted, so that nobody knew the ending. Records were lost, the isolated controller returned while the leader of the rebuild still asked for evidence, and the job, which its user knew to be done, was called queued and ran again.

Cause: what owners say was merged without saying which owner says it. "Its owner had it as open" from an earlier owner was combined with "the last owner is covered".

Change: the evidence names the fencing token of the owner that had the job as open, and only that of the last owner counts. Messages gain an optional field; an owner of an earlier version counts as the last one, as it does there.

--- a/src/recovery/evidence.cpp
+++ b/src/recovery/evidence.cpp
@@ -59,7 +59,7 @@
   merge_ending(ending, other.ending);
   has_stored_record |= other.has_stored_record;
   merge_acceptance(accepted_at_revision, other.accepted_at_revision);
-  open_at_owner |= other.open_at_owner;
+  open_at_token = std::max(open_at_token, other.open_at_token);
   without_description |= other.without_description;
   may_have_ended |= other.may_have_ended;
   done |= other.done;
@@ -79,7 +79,7 @@
   };
   return text(a.record) == text(b.record) && a.ending == b.ending &&
          a.has_stored_record == b.has_stored_record && a.accepted_at_revision == b.accepted_at_revision &&
-         a.open_at_owner == b.open_at_owner && a.done == b.done &&
+         a.open_at_token == b.open_at_token && a.done == b.done &&
          a.without_description == b.without_description && a.held == b.held &&
          a.may_have_ended == b.may_have_ended && a.reported_by_worker == b.reported_by_worker &&
          a.delegated == b.delegated && a.placements == b.placements;
@@ -112,7 +112,7 @@
     for (const JobMemory& job_memory : shard.jobs) {
       JobEvidence& job = out.jobs[job_memory.record.spec.ref];
       merge_job_record(job.record, job_memory.record);
-      job.open_at_owner |= !job_memory.delegated_here;
+      if (!job_memory.delegated_here) job.open_at_token = std::max(job.open_at_token, shard.fencing_token);
       job.done |= to_task_set(job_memory.done);
       job.held |= to_task_set(job_memory.held);
       job.may_have_ended |= job_memory.may_have_ended;
@@ -163,7 +163,7 @@
 }
 
 // A job is certainly open only if the evidence covers the owner of its home shard, and
-//  * that owner had it as open, or
+//  * that owner had it as open, not only an earlier one, or
 //  * it was accepted after every revision since when that owner knows all endings. The owner then does not
 //    know the job because it had not read it yet, and no task of it has started. This does not hold for a job
 //    that an earlier rebuild held for lack of a description: it may have run before it was submitted again.
@@ -173,7 +173,8 @@
   if (!home_owner || job.may_have_ended) return false;
   const bool unread_by_owner = !job.without_description && job.accepted_at_revision &&
                                *job.accepted_at_revision > home_owner->endings_known_since;
-  return job.open_at_owner || unread_by_owner;
+  const bool open_at_last_owner = job.open_at_token >= home_owner->token;
+  return open_at_last_owner || unread_by_owner;
 }
 
 // Returns the tasks that were delegated to shards whose owners the evidence does not cover.
--- a/src/recovery/evidence.hpp
+++ b/src/recovery/evidence.hpp
@@ -45,7 +45,8 @@
   // The revision of the write that accepted it, from a controller that accepted it recently or from its
   // surviving record. If sources differ, the lowest one. 0: accepted at a revision that is not known.
   std::optional<std::uint64_t> accepted_at_revision;
-  bool open_at_owner = false;        // the owner of its home shard had it as open
+  // The highest fencing token of an owner of its home shard that had it as open; 0: none had.
+  std::uint64_t open_at_token = 0;
   bool without_description = false;  // an earlier rebuild held all its tasks for lack of a description
   bool may_have_ended = false;       // an earlier rebuild could not tell whether it had ended
   TaskSet done;                      // completed tasks
--- a/src/recovery/evidence_json.cpp
+++ b/src/recovery/evidence_json.cpp
@@ -23,6 +23,7 @@
 constexpr const char* kAccepted = "accepted";
 constexpr const char* kAcceptedAtRevision = "accepted_at";  // absent in messages of earlier versions
 constexpr const char* kOpenAtOwner = "owned";
+constexpr const char* kOpenAtToken = "owned_token";  // absent in messages of earlier versions
 constexpr const char* kWithoutDescription = "undescribed";
 constexpr const char* kMayHaveEnded = "may_have_ended";
 constexpr const char* kHeld = "held";
@@ -40,7 +41,10 @@
     out[kAccepted] = true;
     out[kAcceptedAtRevision] = *job.accepted_at_revision;
   }
-  if (job.open_at_owner) out[kOpenAtOwner] = true;
+  if (job.open_at_token > 0) {
+    out[kOpenAtOwner] = true;
+    out[kOpenAtToken] = job.open_at_token;
+  }
   if (job.without_description) out[kWithoutDescription] = true;
   if (job.may_have_ended) out[kMayHaveEnded] = true;
   if (!job.held.isEmpty()) out[kHeld] = to_text(job.held);
@@ -83,7 +87,9 @@
   out.has_stored_record = value.value(kHasStoredRecord, false);
   if (value.value(kAccepted, false))
     out.accepted_at_revision = value.value(kAcceptedAtRevision, std::uint64_t{0});
-  out.open_at_owner = value.value(kOpenAtOwner, false);
+  // The owner may be one of an earlier version that is the last one, so its jobs are open as in that version.
+  if (value.value(kOpenAtOwner, false))
+    out.open_at_token = value.value(kOpenAtToken, std::numeric_limits<std::uint64_t>::max());
   const auto done = parse_task_set(value.value(kDone, Json("")));
   const auto reported_by_worker = parse_task_set(value.value(kReportedByWorker, Json("")));
   const auto held = parse_task_set(value.value(kHeld, Json("")));
--- a/src/recovery/evidence_snapshot.cpp
+++ b/src/recovery/evidence_snapshot.cpp
@@ -9,7 +9,7 @@
 
 void remove_owner_evidence(Evidence& evidence) {
   evidence.owners.clear();
-  for (auto& [ref, job] : evidence.jobs) job.open_at_owner = false;
+  for (auto& [ref, job] : evidence.jobs) job.open_at_token = 0;
 }
 
 EvidenceSnapshot::EvidenceSnapshot(const Evidence& evidence, double taken_at)
--- a/src/recovery/rebuilt_records.cpp
+++ b/src/recovery/rebuilt_records.cpp
@@ -68,20 +68,20 @@
     });
   }
 
-  // A job that its shard's owner had as open is the usual case. For every other job, the log says which
-  // evidence it was rebuilt from.
+  // A job that its shard's last owner had as open is the usual case. If that owner is covered but did not
+  // have it, the log says which evidence the job was rebuilt from.
   void log_unless_open_at_owner(const std::string& ref, int shard, const JobEvidence& job,
                                 const JobOutcome& outcome) const {
-    if (job.open_at_owner) return;
     const auto& owner = scope_.covered_owners[static_cast<std::size_t>(shard)];
+    if (!owner || job.open_at_token >= owner->token) return;
     spdlog::info(
         "recovery: job {}: rebuilt as open{}, although its shard's owner did not have it; accepted at "
         "revision "
-        "{}, its owner knows all endings since revision {} (0: not known), in the surviving records: {}, "
-        "tasks "
-        "done: {}, tasks reported by workers: {}",
+        "{} (0: not known), its owner knows all endings since revision {}, in the surviving records: {}, "
+        "open "
+        "at an earlier owner: {}, tasks done: {}, tasks reported by workers: {}",
         ref, outcome.may_have_ended ? " with its status withheld" : "", job.accepted_at_revision.value_or(0),
-        owner ? owner->endings_known_since : 0, job.has_stored_record, job.done.cardinality(),
+        owner->endings_known_since, job.has_stored_record, job.open_at_token > 0, job.done.cardinality(),
         job.reported_by_worker.cardinality());
   }
 
--- a/tests/recovery_merge_test.cpp
+++ b/tests/recovery_merge_test.cpp
@@ -43,7 +43,7 @@
   if (*rc::gen::inRange(0, 4) == 0) out.ending = number % 2 == 0 ? JobPhase::kDone : JobPhase::kCancelled;
   out.has_stored_record = *rc::gen::arbitrary<bool>();
   if (*rc::gen::arbitrary<bool>()) out.accepted_at_revision = *rc::gen::inRange<std::uint64_t>(0, 12);
-  out.open_at_owner = *rc::gen::arbitrary<bool>();
+  if (*rc::gen::arbitrary<bool>()) out.open_at_token = *rc::gen::inRange<std::uint64_t>(1, 9);
   out.may_have_ended = *rc::gen::inRange(0, 5) == 0;
   out.without_description = *rc::gen::inRange(0, 5) == 0;
   for (std::uint32_t task = 0; task < kTaskCount; task++) {
@@ -172,8 +172,10 @@
       RC_ASSERT(home_owner.has_value());
       RC_ASSERT(!job.may_have_ended);
       // A job that its owner does not know may have ended before the owner took over.
-      RC_ASSERT(job.open_at_owner || job.accepted_at_revision.value_or(0) > home_owner->endings_known_since);
-      RC_ASSERT(job.open_at_owner || !job.without_description);
+      // Only the last owner's open jobs are certainly open.
+      const bool open_at_last_owner = job.open_at_token >= home_owner->token;
+      RC_ASSERT(open_at_last_owner || job.accepted_at_revision.value_or(0) > home_owner->endings_known_since);
+      RC_ASSERT(open_at_last_owner || !job.without_description);
       RC_ASSERT(scope.nothing_runs || job.placements.count(static_cast<int>(task)) == 0);
       for (const auto& [shard, tasks] : job.delegated)
         RC_ASSERT(!tasks.contains(task) || scope.covers_owner(shard));
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -483,6 +483,48 @@
   run_with_owner_restarted_before_loss(true, 50);
 }
 
+// An earlier owner, isolated since before the job ended, still had it as open. The later owner that ended the
+// job had been restarted, so nobody knew the ending, and the job ran again.
+TEST_P(StateLoss, IsolatedEarlierOwnerReturnsDuringTheRebuild) {
+  constexpr double kSubmitAt = 20;
+  constexpr double kIsolatedAt = 30;
+  constexpr double kReplacedAt = 40;  // by then another node owns the shard
+  constexpr double kRestartSeconds = 8;
+  constexpr double kLossAt = 90;
+  constexpr double kReturnAfterSeconds = 2;  // while the leader of the rebuild still asks for evidence
+  World world(options_of_single_owner_scenarios());
+  world.network.delayed_share = 0;
+  submit_first_job(world, 2);
+  JobOfOneOwner job;
+  std::map<int, int> starts_before;
+  world.at(kSubmitAt, [&world, &job] {
+    job = add_job_of_other_owner(world, 4000, 20);
+    // The isolated node stays up, so the job stays known.
+    world.users.submit_to_node(job.ref, job.owner, [] {});
+  });
+  world.at(kIsolatedAt, [&world, &job] {
+    world.network.partition_node(job.owner, true);
+    world.network.partition_node_from_workers(job.owner);
+  });
+  world.at(kReplacedAt, [&world, &job] {
+    const int later_owner = world.nodes.owner_of(shard_of(job.ref, world.options.nodes));
+    ASSERT_NE(later_owner, job.owner);
+    world.users.poll_node_until_ended(
+        job.ref, later_owner, [&world, later_owner] { world.nodes.crash(later_owner, kRestartSeconds); });
+  });
+  world.at(kLossAt, [&world, &job, &starts_before] {
+    EXPECT_TRUE(world.jobs.at(job.ref).user_saw_done) << "The job must have ended.";
+    starts_before = world.jobs.at(job.ref).starts;
+    world.state.clear();
+    world.users.poll(job.ref);
+  });
+  world.at(kLossAt + kReturnAfterSeconds, [&world] { world.network.heal_partitions(); });
+
+  run_with_operator(world, kLossAt + kOperatorDelaySeconds, 300, 2);
+
+  EXPECT_EQ(world.jobs.at(job.ref).starts, starts_before) << "Tasks of an ended job were started again.";
+}
+
 // Guards against the loss of an accepted job that the owner of its shard has not read yet: it must run
 // without an operator, although its owner does not know it. The owner has taken its shard over shortly
 // before.
