Only the last owner of a machine's shard shows where a task is placed

The isolated controller also had the machine's shard and still had the tasks placed there. The rebuild recorded these placements; the machine reported that it does not have the tasks, they counted as lost, and they were queued.

Placements of an earlier owner were combined with the memory of the last one, which had freed them.

Change: the evidence keeps all reported placements with the fencing token of the owner that reports them, and only those of the last owner of the machine's shard count; of these the highest attempt, as before. Messages gain an optional field, with the same rule for earlier versions.

--- a/src/recovery/evidence.cpp
+++ b/src/recovery/evidence.cpp
@@ -66,11 +66,8 @@
   held |= other.held;
   reported_by_worker |= other.reported_by_worker;
   for (const auto& [shard, tasks] : other.delegated) delegated[shard] |= tasks;
-  for (const auto& [task, placement] : other.placements) {
-    PlacementEvidence& existing = placements[task];
-    if (std::pair(placement.attempt, placement.machine) > std::pair(existing.attempt, existing.machine))
-      existing = placement;
-  }
+  for (const auto& [place, placement] : other.placements)
+    placements[place] = std::max(placements[place], placement);
 }
 
 bool operator==(const JobEvidence& a, const JobEvidence& b) {
@@ -123,7 +120,7 @@
       MachineRecord record = machine;
       record.placements.clear();
       for (const PlacementRecord& placed : machine.placements)
-        out.jobs[placed.ref].placements[placed.index] = {name, placed.attempt};
+        out.jobs[placed.ref].placements[{placed.index, name}] = {placed.attempt, shard.fencing_token};
       out.machines.emplace(name, std::move(record));
     }
   }
@@ -186,16 +183,29 @@
   return out;
 }
 
+// Returns where the tasks are placed that are not done. Only the last owner of a machine's shard shows that:
+// a placement that an earlier owner had, and the last one does not have, was freed on evidence or completed.
+// Requires that the evidence covers the owners of all shards.
+std::map<int, TaskPlace> current_placements(const JobEvidence& job, const RebuildScope& scope) {
+  std::map<int, TaskPlace> out;
+  for (const auto& [key, placement] : job.placements) {
+    const auto& [task, machine] = key;
+    const auto shard = static_cast<std::size_t>(shard_of(machine, scope.shards));
+    const bool is_current = placement.owner_token >= scope.covered_owners[shard]->token;
+    if (!is_current || job.done.contains(static_cast<std::uint32_t>(task))) continue;
+    TaskPlace& place = out[task];
+    if (placement.attempt > place.attempt) place = {machine, placement.attempt};
+  }
+  return out;
+}
+
 }  // namespace
 
 JobOutcome derive_outcome(const std::string& ref, const JobEvidence& job, const RebuildScope& scope) {
   JobOutcome out;
   out.done = job.done;
   const bool cancelled = job.ending == JobPhase::kCancelled || (job.record && job.record->cancelled);
-  if (!scope.nothing_runs) out.placements = job.placements;
-  std::erase_if(out.placements, [&job](const auto& item) {
-    return job.done.contains(static_cast<std::uint32_t>(item.first));
-  });
+  if (!scope.nothing_runs) out.placements = current_placements(job, scope);
   if (job.ending == JobPhase::kDone) {
     out.kind = JobOutcome::Kind::kEnded;
     out.ending = JobPhase::kDone;
--- a/src/recovery/evidence.hpp
+++ b/src/recovery/evidence.hpp
@@ -5,7 +5,8 @@
 // sources nor on duplicates:
 //  * a job has ended if any source has its ending;
 //  * a task is done if any source has its completion;
-//  * of several placements of a task, the one with the highest attempt number wins;
+//  * of several placements of a task that the last owners of the machines' shards report, the one with the
+//    highest attempt number wins;
 //  * a job is cancelled if any source has its cancellation.
 // derive_outcome() decides from the merged evidence how a job continues.
 #pragma once
@@ -29,15 +30,20 @@
 [[nodiscard]] TaskSet to_task_set(const RangeSet& ranges);
 [[nodiscard]] RangeSet to_ranges(const TaskSet& tasks);
 
-// The machine on which a task was placed, and the attempt that placed it.
+// That the owner of a machine's shard had a task placed on the machine.
 struct PlacementEvidence {
+  std::uint64_t attempt = 0;      // that placed the task
+  std::uint64_t owner_token = 0;  // the fencing token of the owner
+  friend auto operator<=>(const PlacementEvidence&, const PlacementEvidence&) = default;
+};
+
+// The machine on which a task is placed, and the attempt that placed it.
+struct TaskPlace {
   std::string machine;
   std::uint64_t attempt = 0;
-  friend bool operator==(const PlacementEvidence&, const PlacementEvidence&) = default;
 };
 
-// The evidence about one job. The sets contain indices of its tasks, and the placements are keyed by task
-// index.
+// The evidence about one job. The sets contain indices of its tasks.
 struct JobEvidence {
   std::optional<JobRecord> record;  // the description; without it, only the job id is known
   std::optional<JobPhase> ending;   // kDone or kCancelled
@@ -53,7 +59,8 @@
   TaskSet held;                      // held by an earlier rebuild and not resolved since
   TaskSet reported_by_worker;        // tasks that a worker has reported in any state
   std::map<int, TaskSet> delegated;  // tasks that the home shard has delegated, by target shard
-  std::map<int, PlacementEvidence> placements;
+  // By task index and machine name. Several owners of a shard may report different placements of a task.
+  std::map<std::pair<int, std::string>, PlacementEvidence> placements;
 
   void merge(const JobEvidence& other);
   friend bool operator==(const JobEvidence&, const JobEvidence&);
@@ -121,7 +128,7 @@
   bool cancelled = false;       // its placed tasks still have to be stopped if the job is open
   TaskSet done;
   TaskSet held;  // tasks that may have completed unobserved: they are neither restarted nor dropped
-  std::map<int, PlacementEvidence> placements;
+  std::map<int, TaskPlace> placements;  // by task index
 };
 
 // Derives the outcome of the job with id `ref`, which determines its home shard. Has no side effects.
--- a/src/recovery/evidence_json.cpp
+++ b/src/recovery/evidence_json.cpp
@@ -30,7 +30,16 @@
 constexpr const char* kDone = "done";
 constexpr const char* kReportedByWorker = "seen";
 constexpr const char* kDelegated = "lent";     // object of task ranges by shard
-constexpr const char* kPlacements = "placed";  // array of [task index, machine, attempt]
+constexpr const char* kPlacements = "placed";  // array of [task index, machine, attempt, owner's token]
+
+// Earlier versions do not report some fencing tokens and revisions. The highest one stands for these: an
+// owner of such a version counts as the last one, as it does in that version, and may know no endings.
+constexpr std::uint64_t kUnknownRevision = std::numeric_limits<std::uint64_t>::max();
+
+// Returns the number at this index of an array; kUnknownRevision if an earlier version has sent the array.
+std::uint64_t number_or_unknown(const Json& array, std::size_t index) {
+  return array.size() > index ? array.at(index).get<std::uint64_t>() : kUnknownRevision;
+}
 
 Json job_to_json(const JobEvidence& job) {
   Json out = Json::object();
@@ -51,23 +60,19 @@
   if (!job.done.isEmpty()) out[kDone] = to_text(job.done);
   if (!job.reported_by_worker.isEmpty()) out[kReportedByWorker] = to_text(job.reported_by_worker);
   for (const auto& [shard, tasks] : job.delegated) out[kDelegated][std::to_string(shard)] = to_text(tasks);
-  for (const auto& [task, placement] : job.placements)
-    out[kPlacements].push_back({task, placement.machine, placement.attempt});
+  for (const auto& [place, placement] : job.placements)
+    out[kPlacements].push_back({place.first, place.second, placement.attempt, placement.owner_token});
   return out;
 }
 
-// Earlier versions do not report since when they know all endings, so they may know none.
 // Throws Json::exception if a field is missing or has an unexpected type.
 OwnerEvidence parse_owner(const Json& value) {
-  constexpr std::size_t kEndingsKnownSince = 5;
   OwnerEvidence out;
   out.token = value.at(1).get<std::uint64_t>();
   out.loaded = value.at(2).get<bool>();
   out.had_lease = value.at(3).get<bool>();
   out.lease_left_s = value.at(4).get<double>();
-  out.endings_known_since = value.size() > kEndingsKnownSince
-                                ? value.at(kEndingsKnownSince).get<std::uint64_t>()
-                                : std::numeric_limits<std::uint64_t>::max();
+  out.endings_known_since = number_or_unknown(value, 5);
   return out;
 }
 
@@ -87,9 +92,7 @@
   out.has_stored_record = value.value(kHasStoredRecord, false);
   if (value.value(kAccepted, false))
     out.accepted_at_revision = value.value(kAcceptedAtRevision, std::uint64_t{0});
-  // The owner may be one of an earlier version that is the last one, so its jobs are open as in that version.
-  if (value.value(kOpenAtOwner, false))
-    out.open_at_token = value.value(kOpenAtToken, std::numeric_limits<std::uint64_t>::max());
+  if (value.value(kOpenAtOwner, false)) out.open_at_token = value.value(kOpenAtToken, kUnknownRevision);
   const auto done = parse_task_set(value.value(kDone, Json("")));
   const auto reported_by_worker = parse_task_set(value.value(kReportedByWorker, Json("")));
   const auto held = parse_task_set(value.value(kHeld, Json("")));
@@ -106,9 +109,10 @@
     out.delegated[std::stoi(shard)] = *set;
   }
   const Json placements = value.value(kPlacements, Json::array());
-  for (const Json& placed : placements)
-    out.placements[placed.at(0).get<int>()] = {placed.at(1).get<std::string>(),
-                                               placed.at(2).get<std::uint64_t>()};
+  for (const Json& placed : placements) {
+    const std::pair place(placed.at(0).get<int>(), placed.at(1).get<std::string>());
+    out.placements[place] = {placed.at(2).get<std::uint64_t>(), number_or_unknown(placed, 3)};
+  }
   return out;
 }
 
