Failed guards and stored cancellations are read in one place

A job record that is no object counts as not cancelled in the watch, as it did while loading; before, it threw there.

Measured: nothing but the suite.

--- a/src/bookkeeping/records.cpp
+++ b/src/bookkeeping/records.cpp
@@ -109,6 +109,10 @@
   return out;
 }
 
+bool shows_cancellation(const Json& job_record) {
+  return job_record.is_object() && job_record.value(job_fields::kPhase, "") == job_fields::kCancelled;
+}
+
 std::optional<JobRecord> JobRecord::from_json(const Json& value, RecordError* error) {
   if (!value.is_object()) return unreadable(error, "", kNotAnObject);
   if (!value.contains(job_fields::kSpec)) return unreadable(error, job_fields::kSpec, kMissing);
--- a/src/bookkeeping/records.hpp
+++ b/src/bookkeeping/records.hpp
@@ -160,6 +160,8 @@
   [[nodiscard]] Json to_json() const;
   static std::optional<JobRecord> from_json(const Json& value, RecordError* error = nullptr);
 };
+// Whether a stored job record shows that its job was cancelled. The job's description need not be readable.
+[[nodiscard]] bool shows_cancellation(const Json& job_record);
 
 // One task on a machine.
 struct PlacementRecord {
--- a/src/coordination/node/user_api.cpp
+++ b/src/coordination/node/user_api.cpp
@@ -59,8 +59,7 @@
 
 // Returns true if the only failed guard of the submission is the one that the job is not unaccounted.
 bool conflicts_only_on_unaccounted(const StateReply& reply, int shard, const std::string& ref) {
-  return reply.body.is_object() &&
-         reply.body.value("failed", Json()) == Json::array({keys::unaccounted(shard, ref)});
+  return reply.failed_keys() == std::vector<std::string>{keys::unaccounted(shard, ref)};
 }
 
 }  // namespace
--- a/src/coordination/shard/record_committer.cpp
+++ b/src/coordination/shard/record_committer.cpp
@@ -111,9 +111,7 @@
 
 void RecordCommitter::on_refused(const std::shared_ptr<Write>& write, const StateReply& reply) {
   std::vector<std::string> failed;
-  if (reply.outcome == Outcome::kConflict && reply.body.is_object() && reply.body.contains("failed")) {
-    for (const Json& key : reply.body["failed"]) failed.push_back(key.get<std::string>());
-  }
+  if (reply.outcome == Outcome::kConflict) failed = reply.failed_keys();
   const bool is_still_owner =
       std::find(failed.begin(), failed.end(), keys::shard_owner(ctx_.shard)) == failed.end();
   const bool only_delegations =
--- a/src/coordination/shard/shard_loader.cpp
+++ b/src/coordination/shard/shard_loader.cpp
@@ -175,8 +175,8 @@
         }
         std::map<std::string, bool> cancelled_by_ref;
         for (const StateItem& item : items) {
-          const bool is_cancelled = item.data.is_object() && item.data.value("phase", "") == "aborted";
-          cancelled_by_ref[item.key.substr(keys::job_records(home_shard).size())] = is_cancelled;
+          cancelled_by_ref[item.key.substr(keys::job_records(home_shard).size())] =
+              shows_cancellation(item.data);
         }
         for (const auto& [name, job] : model_.jobs()) {
           if (!job->delegated_here() || job->home_shard != home_shard) continue;
@@ -334,8 +334,7 @@
 // the job is cancelled. A deleted record does not show how the job has ended; usually all its tasks are done.
 void ShardLoader::on_delegated_job_event(const Json& event, const std::string& ref) {
   const bool is_deleted = !event.contains("put");
-  const bool is_cancelled =
-      !is_deleted && event.contains("data") && event["data"].value("phase", "") == "aborted";
+  const bool is_cancelled = !is_deleted && event.contains("data") && shows_cancellation(event["data"]);
   if (!is_deleted && !is_cancelled) return;
   const std::string prefix = keys::delegations(ctx_.shard, ref);
   for (auto it = model_.jobs().lower_bound(prefix);
