--- a/src/recovery/evidence.hpp
+++ b/src/recovery/evidence.hpp
@@ -34,7 +34,10 @@
 struct PlacementEvidence {
   std::uint64_t attempt = 0;      // that placed the task
   std::uint64_t owner_token = 0;  // the fencing token of the owner
-  friend auto operator<=>(const PlacementEvidence&, const PlacementEvidence&) = default;
+  friend bool operator<(const PlacementEvidence& a, const PlacementEvidence& b) {
+    return std::tie(a.attempt, a.owner_token) < std::tie(b.attempt, b.owner_token);
+  }
+  friend bool operator==(const PlacementEvidence&, const PlacementEvidence&) = default;
 };
 
 // The machine on which a task is placed, and the attempt that placed it.
