The log says what the answer to a poll rests on

Polls that are not forwarded are logged at level debug, with the source and the newest known revision.

--- a/src/coordination/node/user_api.cpp
+++ b/src/coordination/node/user_api.cpp
@@ -34,6 +34,15 @@
   responder.send(503, R"({"error":"starting"})", kRetryAfterSeconds);
 }
 
+// Logs what the answer to a poll rests on. After a loss of records this tells answers that rest on a read
+// from those that rest on the memory of the owner.
+void log_poll_answer(const std::string& ref, const JobFinding& finding, const char* source,
+                     std::uint64_t newest_revision) {
+  const bool has_status = finding.kind == JobFinding::Kind::kStatus;
+  spdlog::debug("job {}: poll answered from {}: {}; newest known revision {}", ref, source,
+                has_status ? wire_name(finding.status.phase) : "no status", newest_revision);
+}
+
 void send_finding(const std::string& ref, const JobFinding& finding, const Responder& responder) {
   switch (finding.kind) {
     case JobFinding::Kind::kStatus:
@@ -269,6 +278,7 @@
   }
   const auto found = statuses_.from_memory(ref);
   if (found && found->can_be_reported()) {
+    log_poll_answer(ref, *found, "memory", ctx_.state->newest_revision());
     send_finding(ref, *found, responder);
     return;
   }
@@ -307,6 +317,7 @@
       if (is_late) found = {};
       found.status = open_status;
     }
+    log_poll_answer(ref, found, "the state service", ctx_.state->newest_revision());
     send_finding(ref, found, responder);
   });
 }
