Simulated cluster: what scenarios of lost state share, page sizes, query strings

The job of another owner, the job that goes first and the check that no task ran twice move from recovery_open_jobs_test.cpp to sim/state_loss. The simulated state service honours `most`, as the protocol says; requests to controllers are split at their query, as the real server does; a user can ask one node once. No scenario or check was changed.

--- a/tests/recovery_open_jobs_test.cpp
+++ b/tests/recovery_open_jobs_test.cpp
@@ -19,55 +19,6 @@
 
 namespace {
 
-// A job, and the nodes that its user asks. The other nodes do not hear of the job from the user.
-struct JobOfOneOwner {
-  std::string ref;
-  int accepting_node = 0;  // accepts the job and does not own its home shard
-  int owner = 0;           // owns the home shard
-};
-
-// Adds a job of two tasks whose home shard is owned by another node than node 0, which is to accept it.
-JobOfOneOwner add_job_of_other_owner(World& world, int number, double run_s) {
-  JobOfOneOwner out;
-  const auto home_owner = [&world](const std::string& ref) {
-    return world.nodes.owner_of(shard_of(ref, world.options.nodes));
-  };
-  do {
-    out.ref = "job-00" + std::to_string(number++);
-  } while (home_owner(out.ref) <= out.accepting_node);
-  out.owner = home_owner(out.ref);
-  UserJob job = plain_job(world, 50, world.now, 2, run_s);
-  job.ref = out.ref;
-  job.body["ref"] = job.ref;
-  world.add_job(std::move(job));
-  return out;
-}
-
-// Submits a job before the one in question, so that machines are up. All nodes learn its ending, so that it
-// stays known after crashes.
-void submit_first_job(World& world, double submit_at) {
-  constexpr double kFirstPollDelaySeconds = 10;
-  constexpr int kPollRounds = 6;
-  constexpr double kPollIntervalSeconds = 2;
-  UserJob job = plain_job(world, 1, submit_at, 2, 2);
-  const std::string ref = job.ref;
-  world.submit(std::move(job));
-  world.at(submit_at + kFirstPollDelaySeconds,
-           [&world, ref] { world.users.poll_all_nodes_repeatedly(ref, kPollRounds, kPollIntervalSeconds); });
-}
-
-// Expects that no task of the job was started more than once.
-void expect_started_once(const World& world, const std::string& ref) {
-  for (const auto& [task, count] : world.jobs.at(ref).starts)
-    EXPECT_EQ(count, 1) << ref << "/" << task << " was started again";
-}
-
-// Options under which a user reaches the intended nodes only.
-Options without_message_loss(Options out) {
-  out.message_loss_share = 0;
-  return out;
-}
-
 // A job ends, or is cancelled, and only the owner of its shard and the user hear of that. The owner is
 // restarted. `loss_after_s` after the acceptance the state is lost.
 void run_with_owner_restarted_before_loss(const Options& options, bool is_cancelled, double loss_after_s) {
--- a/tests/sim/network.cpp
+++ b/tests/sim/network.cpp
@@ -209,7 +209,9 @@
               : is_peer ? call.path
                         : "forwarded",
               call.body.size(), is_client ? Node::kMaxClientBodyBytes : Node::kMaxPeerBodyBytes);
-  const HttpRequest request{call.method, call.path, call.body};
+  const std::size_t path_size = std::min(call.path.find('?'), call.path.size());
+  const std::string query = path_size < call.path.size() ? call.path.substr(path_size + 1) : "";
+  const HttpRequest request{call.method, call.path.substr(0, path_size), call.body, query};
   const Responder responder([this, reply, node_call](const HttpAnswer& out) {
     if (node_call.is_client_address) record_size("answer", out.body.size(), kMaxBodyBytes);
     world_.rules.check_node_answer(node_call.from, node_name(node_call.node), node_call.call, out,
--- a/tests/sim/state_loss.cpp
+++ b/tests/sim/state_loss.cpp
@@ -1,5 +1,7 @@
 #include "sim/state_loss.hpp"
 
+#include <utility>
+
 #include "protocol/names.hpp"
 #include "sim/addresses.hpp"
 #include "sim/checks.hpp"
@@ -63,6 +65,43 @@
   expect_incarnation(world, min_incarnation);
 }
 
+JobOfOneOwner add_job_of_other_owner(World& world, int number, double run_s) {
+  JobOfOneOwner out;
+  const auto home_owner = [&world](const std::string& ref) {
+    return world.nodes.owner_of(shard_of(ref, world.options.nodes));
+  };
+  do {
+    out.ref = "job-00" + std::to_string(number++);
+  } while (home_owner(out.ref) <= out.accepting_node);
+  out.owner = home_owner(out.ref);
+  UserJob job = plain_job(world, 50, world.now, 2, run_s);
+  job.ref = out.ref;
+  job.body["ref"] = job.ref;
+  world.add_job(std::move(job));
+  return out;
+}
+
+void submit_first_job(World& world, double submit_at) {
+  constexpr double kFirstPollDelaySeconds = 10;
+  constexpr int kPollRounds = 6;
+  constexpr double kPollIntervalSeconds = 2;
+  UserJob job = plain_job(world, 1, submit_at, 2, 2);
+  const std::string ref = job.ref;
+  world.submit(std::move(job));
+  world.at(submit_at + kFirstPollDelaySeconds,
+           [&world, ref] { world.users.poll_all_nodes_repeatedly(ref, kPollRounds, kPollIntervalSeconds); });
+}
+
+void expect_started_once(const World& world, const std::string& ref) {
+  for (const auto& [task, count] : world.jobs.at(ref).starts)
+    EXPECT_EQ(count, 1) << ref << "/" << task << " was started again";
+}
+
+Options without_message_loss(Options options) {
+  options.message_loss_share = 0;
+  return options;
+}
+
 Options StateLoss::options() {
   Options out;
   out.seed = static_cast<std::uint64_t>(GetParam());
--- a/tests/sim/state_loss.hpp
+++ b/tests/sim/state_loss.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 
 #include "sim/world.hpp"
 
@@ -32,6 +33,27 @@
 // jobs. The faults count as ended when the operator has made all decisions.
 void run_with_operator(World& world, double operator_starts_at, double ends_at, int min_incarnation);
 
+// A job, and the nodes that its user asks. The other nodes do not hear of the job from the user.
+struct JobOfOneOwner {
+  std::string ref;
+  int accepting_node = 0;  // accepts the job and does not own its home shard
+  int owner = 0;           // owns the home shard
+};
+
+// Adds a job of two tasks whose home shard is owned by another node than node 0, which is to accept it. Its
+// id is the first such one from `number` on.
+JobOfOneOwner add_job_of_other_owner(World& world, int number, double run_s);
+
+// Submits a job before the one in question, so that machines are up. All nodes learn its ending, so that it
+// stays known after crashes.
+void submit_first_job(World& world, double submit_at);
+
+// Expects that no task of the job was started more than once.
+void expect_started_once(const World& world, const std::string& ref);
+
+// Options under which a user reaches the intended nodes only.
+Options without_message_loss(Options options);
+
 // Scenarios with a seed as parameter.
 class StateLoss : public ::testing::TestWithParam<int> {
  protected:
--- a/tests/sim/state_service.cpp
+++ b/tests/sim/state_service.cpp
@@ -1,6 +1,7 @@
 #include "sim/state_service.hpp"
 
 #include <algorithm>
+#include <cstdint>
 #include <utility>
 
 #include "sim/query.hpp"
@@ -161,11 +162,14 @@
 void StateService::list_keys(const std::string& target, const Reply& reply) {
   const std::string prefix = query_parameter(target, "prefix");
   const std::string from = query_parameter(target, "from");
+  const std::string most = query_parameter(target, "most");
+  const std::size_t page_size =
+      std::min<std::size_t>(world_.options.items_per_page, most.empty() ? SIZE_MAX : std::stoul(most));
   Json items = Json::array();
   bool more = false;
   for (auto it = values_.lower_bound(prefix); it != values_.end() && starts_with(it->first, prefix); ++it) {
     if (!from.empty() && it->first <= from) continue;
-    if (items.size() == world_.options.items_per_page) {
+    if (items.size() == page_size) {
       more = true;
       break;
     }
--- a/tests/sim/users.cpp
+++ b/tests/sim/users.cpp
@@ -130,6 +130,10 @@
   });
 }
 
+void Users::poll_node(const std::string& ref, int node) {
+  ask(Question::kPoll, ref, node, [](const HttpReply&) {});
+}
+
 void Users::poll_node_until_ended(const std::string& ref, int node, const std::function<void()>& on_ended) {
   ask(Question::kPoll, ref, node, [this, ref, node, on_ended](const HttpReply&) {
     const UserJob& job = world_.jobs.at(ref);
--- a/tests/sim/users.hpp
+++ b/tests/sim/users.hpp
@@ -22,6 +22,8 @@
   // Cancels the job, and repeats it until it is answered. A job that is not accepted yet is cancelled once
   // it is.
   void cancel(const std::string& ref);
+  // Polls this node once.
+  void poll_node(const std::string& ref, int node);
   // Submits the job to this node until it is accepted. The job is not polled.
   void submit_to_node(const std::string& ref, int node, const std::function<void()>& on_accepted);
   // Polls only this node, once a second, until it reports that the job has ended.
