A record is read together with the revision of the state service

For up to a second, polls of jobs that their users knew to be done were answered queued.

Cause: the answer to GET /keys/KEY shows no revision of the service if the key exists (only 404 does). A loss of records is noticed by the revision, so a record that was read this way was believed whatever the controller knew: it had seen revision 99, and the answer was of an older one. Which of the reads before it happened to show the revision (a missing record, a list, a probe every 2 s) decided how long that lasted.

Change: with recovery on, StateClient reads a record with a list of at most one key that starts at it, whose answer has the revision: the same number of calls. So each read of restored records is itself the answer that shows the loss, and is reported as unknown, for every caller: polls, repeated submissions and cancellations, quota shares, delegations, owners of shards, meta. The one reader that needs the lease of a record, which a list does not show, reads the revision after it. The revision probe has a method of its own. With recovery off the calls are as before.

--- a/src/coordination/node/revision_probe.cpp
+++ b/src/coordination/node/revision_probe.cpp
@@ -1,7 +1,5 @@
 #include "coordination/node/revision_probe.hpp"
 
-#include "bookkeeping/records.hpp"
-
 namespace mothslip {
 
 namespace {
@@ -16,7 +14,7 @@
 // the revision again. The state client passes the revision of the answer on to the monitor, so the callback
 // is empty.
 void RevisionProbe::read_at_intervals() {
-  state_.get(RequestPriority::kLease, keys::kRevisionProbe, [](const StateReply&) {});
+  state_.read_revision(RequestPriority::kLease, [](std::optional<std::uint64_t>) {});
   env_.after(kIntervalSeconds, [this] { read_at_intervals(); });
 }
 
@@ -26,9 +24,9 @@
 void RevisionProbe::check_reported(std::uint64_t revision) {
   if (monitor_ == nullptr || revision <= monitor_->newest_revision() || is_checking_) return;
   is_checking_ = true;
-  state_.get(RequestPriority::kLease, keys::kRevisionProbe, [this, revision](const StateReply& reply) {
+  state_.read_revision(RequestPriority::kLease, [this, revision](std::optional<std::uint64_t> current) {
     is_checking_ = false;
-    if (reply.outcome == Outcome::kMissing) monitor_->on_revision(revision, reply.revision());
+    if (current) monitor_->on_revision(revision, *current);
   });
 }
 
--- a/src/coordination/ownership/node_lease.cpp
+++ b/src/coordination/ownership/node_lease.cpp
@@ -92,8 +92,8 @@
   if (monitor_ == nullptr) return expire("the lease of this node expired");
   // This text is shown to operators as the reason in the recovery status and stays as it is.
   if (env_.now() < earliest_expiry_at_) return monitor_->on_contradiction("a lease ended before its time");
-  state_.get(RequestPriority::kLease, keys::kRevisionProbe, [this](const StateReply& reply) {
-    if (reply.outcome != Outcome::kMissing) {
+  state_.read_revision(RequestPriority::kLease, [this](std::optional<std::uint64_t> revision) {
+    if (!revision) {
       env_.after(kRetryDelaySeconds, [this] { on_missing(); });
     } else if (!monitor_->is_state_lost()) {
       expire("the lease of this node expired");
--- a/src/coordination/ownership/shard_claims.cpp
+++ b/src/coordination/ownership/shard_claims.cpp
@@ -91,11 +91,11 @@
 
 void ShardClaims::read_key(int shard, std::uint64_t lease_id) {
   owners_.at(shard).is_claiming = true;
-  state_.get(RequestPriority::kLease, keys::shard_owner(shard),
-             [this, shard, lease_id](const StateReply& reply) {
-               owners_.at(shard).is_claiming = false;
-               on_key_read(shard, lease_id, reply);
-             });
+  state_.get_with_lease(RequestPriority::kLease, keys::shard_owner(shard),
+                        [this, shard, lease_id](const StateReply& reply) {
+                          owners_.at(shard).is_claiming = false;
+                          on_key_read(shard, lease_id, reply);
+                        });
 }
 
 void ShardClaims::on_key_read(int shard, std::uint64_t lease_id, const StateReply& reply) {
--- a/src/coordination/state/state_client.cpp
+++ b/src/coordination/state/state_client.cpp
@@ -7,6 +7,8 @@
 #include <memory>
 #include <utility>
 
+#include "bookkeeping/records.hpp"
+
 namespace mothslip {
 
 namespace {
@@ -105,11 +107,37 @@
          writes, std::move(handler));
 }
 
-void StateClient::get(RequestPriority priority, const std::string& key, StateHandler handler) {
+void StateClient::get_key(RequestPriority priority, const std::string& key, StateHandler handler) {
   submit(priority, {"", "GET", "/keys/" + key_space_.stored_key(key), "", kCallTimeoutSeconds}, 0,
          std::move(handler));
 }
 
+// The service does not say at which revision it read a single key that exists. A list says it, and the first
+// key with a prefix is the prefix itself if that key exists.
+void StateClient::get(RequestPriority priority, const std::string& key, StateHandler handler) {
+  if (monitor_ == nullptr) return get_key(priority, key, std::move(handler));
+  const std::string path = "/keys?prefix=" + key_space_.stored_key(key) + "&most=1";
+  submit(
+      priority, {"", "GET", path, "", kCallTimeoutSeconds}, 0,
+      [key, handler = std::move(handler)](StateReply reply) { handler(std::move(reply).take_record(key)); });
+}
+
+void StateClient::get_with_lease(RequestPriority priority, const std::string& key, StateHandler handler) {
+  get_key(priority, key, [this, priority, handler = std::move(handler)](StateReply record) {
+    if (monitor_ == nullptr || !record.ok()) return handler(std::move(record));
+    read_revision(priority, [record = std::move(record), handler](std::optional<std::uint64_t> revision) {
+      handler(revision ? record : StateReply{Outcome::kUnknown, Json()});
+    });
+  });
+}
+
+void StateClient::read_revision(RequestPriority priority, const RevisionHandler& handler) {
+  get_key(priority, keys::kRevisionProbe, [handler](const StateReply& reply) {
+    const bool is_read = reply.outcome == Outcome::kMissing;
+    handler(is_read ? std::optional(reply.revision()) : std::nullopt);
+  });
+}
+
 void StateClient::list(RequestPriority priority, const std::string& prefix, ListHandler handler) {
   auto all = std::make_shared<std::vector<StateItem>>();
   scan(
--- a/src/coordination/state/state_client.hpp
+++ b/src/coordination/state/state_client.hpp
@@ -5,12 +5,17 @@
 // Outcome; no function throws.
 //
 // From the answer on that shows a loss of records (StateMonitor::is_state_lost), answers are reported as
-// kUnknown, because records and guards that the service has lost look as if they had been deleted. Only
-// successful commits are still reported as such.
+// kUnknown, because records and guards that the service has lost look as if they had been deleted, and
+// records that it has restored look as if they were current. Only successful commits are still reported as
+// such.
+//
+// With a monitor, every answer that contains a record shows the revision at which it was read, so that a read
+// of restored records is itself the answer that shows the loss.
 #pragma once
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,7 +45,14 @@
   void commit(RequestPriority priority, const Transaction& txn, StateHandler handler);
   // Commits a transaction that has already been serialized (Transaction::body) and makes `writes` changes.
   void commit_body(RequestPriority priority, std::string body, int writes, StateHandler handler);
+  // Reads one record. The reply does not contain the lease to which the record is attached.
   void get(RequestPriority priority, const std::string& key, StateHandler handler);
+  // Like `get`, but the reply contains the lease. With a monitor this takes a second call, which shows the
+  // revision.
+  void get_with_lease(RequestPriority priority, const std::string& key, StateHandler handler);
+  // Reads the revision of the service; nothing if it is not known, or if the answer shows a loss of records.
+  using RevisionHandler = std::function<void(std::optional<std::uint64_t> revision)>;
+  void read_revision(RequestPriority priority, const RevisionHandler& handler);
   // Reads all items under a prefix, page by page. `revision` is that of the first page. The handler receives
   // no items unless the outcome is kOk.
   using ListHandler = std::function<void(Outcome, std::vector<StateItem>, std::uint64_t revision)>;
@@ -84,6 +96,8 @@
   [[nodiscard]] const Counters& counters() const { return counters_; }
 
  private:
+  // Reads one record. The reply shows the revision of the service only if the record does not exist.
+  void get_key(RequestPriority priority, const std::string& key, StateHandler handler);
   void submit(RequestPriority priority, HttpCall call, int writes, StateHandler handler);
   void send(RequestPriority priority, QueuedRequest request);
   void refuse(StateHandler handler);
--- a/src/coordination/state/state_messages.cpp
+++ b/src/coordination/state/state_messages.cpp
@@ -58,6 +58,19 @@
   return out;
 }
 
+StateReply StateReply::take_record(const std::string& key) && {
+  if (!ok()) return std::move(*this);
+  const bool is_list = body.contains("items") && body["items"].is_array() && revision() > 0;
+  if (!is_list) return {};
+  StateReply out{Outcome::kMissing, {{"epoch", revision()}}};
+  for (StateItem& item : take_items()) {
+    if (item.key != key) continue;
+    out.outcome = Outcome::kOk;
+    out.body.update({{"k", key}, {"data", std::move(item.data)}, {"stamp", item.revision}});
+  }
+  return out;
+}
+
 std::vector<std::string> StateReply::failed_keys() const {
   std::vector<std::string> out;
   if (!body.is_object() || !body.contains("failed")) return out;
--- a/src/coordination/state/state_messages.hpp
+++ b/src/coordination/state/state_messages.hpp
@@ -65,6 +65,9 @@
   [[nodiscard]] std::vector<WatchEvent> events() const;
   // For the reply to a list: moves out the items of this page; empty if the reply has no items.
   [[nodiscard]] std::vector<StateItem> take_items();
+  // For the reply to a list of the prefix `key`: turns it into the reply to a read of that key, with the
+  // revision of the service.
+  [[nodiscard]] StateReply take_record(const std::string& key) &&;
   // For the reply to a list: returns true if more pages follow.
   [[nodiscard]] bool has_more_items() const { return body.value("more", false); }
 
--- a/src/recovery/start_up.cpp
+++ b/src/recovery/start_up.cpp
@@ -73,11 +73,11 @@
 }
 
 void StartUp::check_for_loss() {
-  store_.get(RequestPriority::kLease, keys::kRevisionProbe, [this](const StateReply& reply) {
-    if (reply.outcome != Outcome::kMissing) {
-      env_.after(kRetryDelaySeconds, [this] { check_for_loss(); });
+  store_.read_revision(RequestPriority::kLease, [this](std::optional<std::uint64_t> revision) {
+    if (revision) {
+      compare_with_store(*revision);
     } else {
-      compare_with_store(reply.revision());
+      env_.after(kRetryDelaySeconds, [this] { check_for_loss(); });
     }
   });
 }
--- /dev/null
+++ b/tests/recovery_answers_test.cpp
@@ -0,0 +1,56 @@
+// Tests of whole nodes in the simulated cluster that lose their records: what users are answered before every
+// controller has noticed the loss.
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "sim/checks.hpp"
+#include "sim/days.hpp"
+#include "sim/state_loss.hpp"
+#include "sim/world.hpp"
+
+using namespace mothslip;
+using namespace mothslip::sim;
+
+namespace {
+
+constexpr double kRestartSeconds = 8;
+
+void crash_all(World& world) {
+  for (int node = 0; node < world.options.nodes; node++) world.nodes.crash(node, kRestartSeconds);
+}
+
+}  // namespace
+
+// All controllers were restarted after jobs had ended, so they answered polls from the job records, which the
+// state service restored from an earlier copy. Until the loss was noticed, the jobs were reported as queued
+// (review/3).
+TEST_P(StateLoss, EndedJobsArePolledRightAfterAnEarlierCopyIsRestored) {
+  constexpr int kJobs = 8;
+  constexpr double kCopiedAt = 14;  // the jobs are accepted and have not ended
+  constexpr double kCrashAt = 60;
+  constexpr double kLossAt = 85;  // all controllers serve again
+  constexpr int kPollRounds = 40;
+  constexpr double kPollIntervalSeconds = 0.05;
+  World world(without_message_loss(options()));
+  std::vector<std::string> refs;
+  for (int number = 0; number < kJobs; number++) {
+    UserJob job = plain_job(world, number, 10, 2, 10);
+    refs.push_back(job.ref);
+    world.submit(std::move(job));
+  }
+  world.at(kCrashAt, [&world] { crash_all(world); });
+  restore_earlier_copy(world, kCopiedAt, kLossAt);
+  world.at(kLossAt, [&world, &refs] {
+    for (const std::string& ref : refs) {
+      EXPECT_TRUE(world.jobs.at(ref).user_saw_done) << "The job must have ended.";
+      world.users.poll_all_nodes_repeatedly(ref, kPollRounds, kPollIntervalSeconds);
+    }
+  });
+
+  run_with_operator(world, kLossAt + kOperatorDelaySeconds, 300, 2);
+
+  for (const std::string& ref : refs) expect_started_once(world, ref);
+}
