A forwarded question names the newest revision that its sender knows

A job was accepted by a controller that does not own its shard, and its record was lost before another controller had seen the revision of the acceptance. The accepting controller passed a poll on to the owner, which read that there is no such job, and its 404 was given to the user who had just been told that the job is accepted. A cancellation was answered likewise.

The owner compares its reads with the revisions that it knows itself; the answer is given by the controller that asked, which knew a newer one.

Change: a poll or a cancellation that is passed on names the newest revision that the sender knows, as heartbeats do, in an optional query parameter. The owner's read then shows the loss.

ForwardedRequest.*.

--- a/src/coordination/node/node.cpp
+++ b/src/coordination/node/node.cpp
@@ -30,7 +30,7 @@
           {&env_, &settings_, &state_, &ownership_, &relay_, monitor, [this] { return owned_shards(); }}),
       worker_reports_({&env_, &settings_, &ownership_, &shards_, &relay_, &revisions_}),
       requests_({&user_api_, &worker_reports_, &heartbeats_, &shard_router_,
-                 [this] { return machine_types_.has_types() && ownership_.shard_count() > 0; }}) {}
+                 [this] { return machine_types_.has_types() && ownership_.shard_count() > 0; }, monitor}) {}
 
 Node::~Node() = default;
 
--- a/src/coordination/node/peer_messages.cpp
+++ b/src/coordination/node/peer_messages.cpp
@@ -1,7 +1,27 @@
 #include "coordination/node/peer_messages.hpp"
 
+#include <charconv>
+#include <string_view>
+
 namespace mothslip {
 
+namespace {
+constexpr std::string_view kRevisionParameter = "revision=";
+}  // namespace
+
+std::string forwarded_path(const std::string& path, std::uint64_t newest_revision) {
+  if (newest_revision == 0) return path;
+  return path + "?" + std::string(kRevisionParameter) + std::to_string(newest_revision);
+}
+
+std::uint64_t forwarded_revision(const std::string& query) {
+  if (!query.starts_with(kRevisionParameter)) return 0;
+  const char* const end = query.data() + query.size();
+  std::uint64_t revision = 0;
+  const auto parsed = std::from_chars(query.data() + kRevisionParameter.size(), end, revision);
+  return parsed.ec == std::errc() && parsed.ptr == end ? revision : 0;
+}
+
 Json PeerHeartbeat::to_json() const {
   Json list = Json::array();
   for (const OwnedShard& item : owned) list.push_back({{"part", item.shard}, {"baton", item.fencing_token}});
--- a/src/coordination/node/peer_messages.hpp
+++ b/src/coordination/node/peer_messages.hpp
@@ -21,6 +21,13 @@
 inline constexpr const char* kSummary = "/peer/summary";
 }  // namespace peer_paths
 
+// Returns the path of a user's request that is forwarded to another controller. Its query contains the newest
+// revision of the state service that the sender knows, so that what the other controller reads for the answer
+// is compared with it. A revision of 0 is not known, and is not sent.
+[[nodiscard]] std::string forwarded_path(const std::string& path, std::uint64_t newest_revision);
+// Returns the revision in the query of a forwarded request; 0 if it has none.
+[[nodiscard]] std::uint64_t forwarded_revision(const std::string& query);
+
 // A shard that the sender of a heartbeat owns.
 struct OwnedShard {
   int shard = -1;
--- a/src/coordination/node/request_router.cpp
+++ b/src/coordination/node/request_router.cpp
@@ -56,6 +56,7 @@
 
 void RequestRouter::on_peer_request(const HttpRequest& request, const Responder& responder) {
   if (!starts_with(request.path, peer_paths::kPrefix)) {
+    if (ctx_.monitor != nullptr) ctx_.monitor->on_peer_revision(forwarded_revision(request.query));
     on_user_request(request, true, responder);
     return;
   }
--- a/src/coordination/node/request_router.hpp
+++ b/src/coordination/node/request_router.hpp
@@ -34,7 +34,8 @@
     WorkerReports* reports = nullptr;
     PeerHeartbeats* heartbeats = nullptr;
     ShardRouter* shards = nullptr;
-    std::function<bool()> is_ready;  // the answer to GET /ready
+    std::function<bool()> is_ready;   // the answer to GET /ready
+    StateMonitor* monitor = nullptr;  // null if this node does not monitor for lost state
   };
   explicit RequestRouter(Context context) : ctx_(std::move(context)) {}
 
--- a/src/coordination/node/user_api.cpp
+++ b/src/coordination/node/user_api.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "bookkeeping/records.hpp"
+#include "coordination/node/peer_messages.hpp"
 #include "protocol/paths.hpp"
 
 namespace mothslip {
@@ -302,7 +303,8 @@
 
 void UserApi::poll_owner(const std::string& address, const std::string& ref, const Responder& responder) {
   const double asked_at = ctx_.env->now();
-  ctx_.env->call({address, "GET", paths::job(ref), "", kPollForwardTimeoutSeconds},
+  const std::string path = forwarded_path(paths::job(ref), ctx_.state->newest_revision());
+  ctx_.env->call({address, "GET", path, "", kPollForwardTimeoutSeconds},
                  [this, ref, asked_at, responder](const HttpReply& reply) {
                    const bool is_late = ctx_.env->now() - asked_at > kPollForwardTimeoutSeconds;
                    if (reply.status == 200 && !is_late) {
@@ -374,7 +376,8 @@
 
 void UserApi::cancel_at_owner(const std::string& address, const std::string& ref,
                               const Responder& responder) {
-  ctx_.env->call({address, "POST", paths::cancel(ref), "{}", kCancelForwardTimeoutSeconds},
+  const std::string path = forwarded_path(paths::cancel(ref), ctx_.state->newest_revision());
+  ctx_.env->call({address, "POST", path, "{}", kCancelForwardTimeoutSeconds},
                  [this, ref, responder](const HttpReply& reply) {
                    if (reply.status == 200) {
                      forward_reply(ref, reply.body, responder);
--- a/tests/recovery_answers_test.cpp
+++ b/tests/recovery_answers_test.cpp
@@ -2,6 +2,7 @@
 // controller has noticed the loss.
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -22,6 +23,37 @@
   for (int node = 0; node < world.options.nodes; node++) world.nodes.crash(node, kRestartSeconds);
 }
 
+// A job is accepted by a controller that does not own its shard, and its record is lost before another
+// controller learns the revision of the acceptance. `ask` asks the accepting controller, which passes the
+// question on to the owner.
+void run_with_job_lost_after_acceptance(const Options& options,
+                                        const std::function<void(World&, const JobOfOneOwner&)>& ask) {
+  constexpr double kSubmitAt = 40;
+  constexpr double kPollDelaySeconds = 5;  // by then the loss is noticed
+  World world(without_message_loss(options));
+  submit_first_job(world, 2);
+  std::string ref;
+  world.at(kSubmitAt, [&world, &ref, ask] {
+    const JobOfOneOwner job = add_job_of_other_owner(world, 4000, 2);
+    ref = job.ref;
+    const auto copy = std::make_shared<StateService::Snapshot>(world.state.snapshot());
+    world.state.are_watches_paused = true;
+    world.users.submit_to_node(job.ref, job.accepting_node, [&world, job, copy, ask] {
+      world.state.restore(*copy);
+      world.state.resume_watches();
+      ask(world, job);
+      world.in(kPollDelaySeconds, [&world, job] { world.users.poll(job.ref); });
+    });
+  });
+  world.faults_end_at = kSubmitAt + 10;
+
+  world.run_until(200);
+
+  expect_invariants_hold(world);
+  expect_incarnation(world, 2);
+  expect_started_once(world, ref);
+}
+
 }  // namespace
 
 // All controllers were restarted after jobs had ended, so they answered polls from the job records, which the
@@ -85,3 +117,18 @@
 
   expect_started_once(world, job.ref);
 }
+
+// The owner compared its read only with the revisions that it knew itself, not with those of the controller
+// that had passed the poll on: a job that this controller had accepted was reported as unknown.
+TEST_P(StateLoss, AcceptedJobIsLostBeforeItsOwnerIsAskedForItsStatus) {
+  run_with_job_lost_after_acceptance(options(), [](World& world, const JobOfOneOwner& job) {
+    world.users.poll_node(job.ref, job.accepting_node);
+  });
+}
+
+// The same with a cancellation.
+TEST_P(StateLoss, AcceptedJobIsLostBeforeItsOwnerIsAskedToCancelIt) {
+  run_with_job_lost_after_acceptance(options(), [](World& world, const JobOfOneOwner& job) {
+    world.users.cancel_at_node(job.ref, job.accepting_node, [] {});
+  });
+}
--- a/tests/unit_test.cpp
+++ b/tests/unit_test.cpp
@@ -7,6 +7,7 @@
 #include "bookkeeping/ledger.hpp"
 #include "bookkeeping/ranges.hpp"
 #include "bookkeeping/records.hpp"
+#include "coordination/node/peer_messages.hpp"
 #include "protocol/messages.hpp"
 #include "protocol/settings.hpp"
 #include "transport/token_bucket.hpp"
@@ -279,3 +280,15 @@
   ledger.remove(0, four_cores);
   EXPECT_TRUE(ledger.within_quota(0, four_cores));
 }
+
+TEST(ForwardedRequest, ContainsTheNewestRevisionIfItIsKnown) {
+  EXPECT_EQ(forwarded_path("/v2/runs/job-1", 0), "/v2/runs/job-1");
+  EXPECT_EQ(forwarded_path("/v2/runs/job-1", 412), "/v2/runs/job-1?revision=412");
+  EXPECT_EQ(forwarded_revision("revision=412"), 412u);
+}
+
+TEST(ForwardedRequest, AQueryWithoutAReadableRevisionHasNone) {
+  for (const char* query :
+       {"", "revision=", "revision=-1", "revision=4x", "other=4", "revision=99999999999999999999999"})
+    EXPECT_EQ(forwarded_revision(query), 0u) << query;
+}
