Known to fail: a job that only the accepting controller knows, asked for at its owner

The copy that is restored is newer than any revision that the owner knows, so nothing that it reads shows the loss; only the accepting controller knows a newer revision, and it is not asked. Until the owner has heard of it (the watch of the job records, about 0.25 s; here held up), the user of a job that was accepted is answered 404. A loss of the last moments that is met in those moments; to close it, an acceptance, or the answer 404, would have to wait for the other controllers.

--- a/tests/recovery_answers_test.cpp
+++ b/tests/recovery_answers_test.cpp
@@ -132,3 +132,13 @@
     world.users.cancel_at_node(job.ref, job.accepting_node, [] {});
   });
 }
+
+// The user asks the owner itself, which cannot know yet that a newer revision was seen by the controller that
+// accepted the job.
+TEST(StateLossOpen, AcceptedJobIsLostBeforeItsOwnerLearnsTheRevision) {
+  set_up_log();
+  Options sim_options;
+  sim_options.recovery = true;
+  run_with_job_lost_after_acceptance(
+      sim_options, [](World& world, const JobOfOneOwner& job) { world.users.poll_node(job.ref, job.owner); });
+}
