A started controller keeps the newest revision that it learned from its peers

A controller was restarted while others served. Right after it had begun to serve, the state service was restored from an earlier copy and the others went away. It never noticed the loss: it took the shards over, loaded the restored records, and answered 404 for a job that its user knew to be done, until the others returned.

When it starts, a controller compares the service with the newest revision that its peers know, but its node then began with none (0, or the offset of the incarnation), so the first answer of the service became the newest known.

Change: the node begins with the revision that the service had shown when they were compared.

Not changed: a controller that serves a rebuilt incarnation begins with its offset; a copy from before its publication is noticed by meta.

--- a/src/recovery/controller.cpp
+++ b/src/recovery/controller.cpp
@@ -33,29 +33,28 @@
   }
   StartUp::Handlers handlers;
   handlers.suspend = [this](const std::string& reason) { suspend(reason); };
-  handlers.serve = [this](const Incarnation& incarnation, double stale_risk_s) {
-    serve(incarnation, stale_risk_s);
-  };
+  handlers.serve = [this](const StartUp::ServableRecords& records) { serve(records); };
   start_up_ = std::make_unique<StartUp>(env_, settings_, std::move(handlers));
   start_up_->start();
 }
 
 // ---------------------------------------------------------------- changes of mode
 
-void Controller::serve(const Incarnation& incarnation, double stale_risk_s) {
+void Controller::serve(const StartUp::ServableRecords& records) {
   ServingMode::Options options;
   options.capabilities = capabilities_;
-  options.incarnation = incarnation;
-  options.stale_risk_s = stale_risk_s;
+  options.incarnation = records.incarnation;
+  options.newest_revision = records.newest_revision;
+  options.stale_risk_s = records.stale_risk_s;
   if (rebuilding_) {
     options.terminals = rebuilding_->terminals();
     last_snapshot_ = rebuilding_->take_snapshot();
   }
-  incarnation_ = incarnation;
+  incarnation_ = records.incarnation;
   rebuilding_.reset();
   start_up_.reset();
   serving_started_at_ = env_.now();
-  stale_risk_ends_at_ = env_.now() + stale_risk_s;
+  stale_risk_ends_at_ = env_.now() + records.stale_risk_s;
   serving_ = std::make_unique<ServingMode>(env_, settings_, options,
                                            [this](const std::string& reason) { suspend(reason); });
   serving_->start();
@@ -82,7 +81,8 @@
 void Controller::resume(const MetaRecord& meta) {
   spdlog::warn("recovery: incarnation {} of the records is published: this controller serves it",
                meta.incarnation.number);
-  serve(meta.incarnation, 0);
+  // No revision of this incarnation is known. A copy from before its publication is noticed by its `meta`.
+  serve({meta.incarnation, 0, 0});
 }
 
 // Everything that this controller knows at the moment when it stops serving. `memory` is that of its node.
--- a/src/recovery/controller.hpp
+++ b/src/recovery/controller.hpp
@@ -38,7 +38,7 @@
   [[nodiscard]] const Incarnation& incarnation() const { return incarnation_; }
 
  private:
-  void serve(const Incarnation& incarnation, double stale_risk_s);
+  void serve(const StartUp::ServableRecords& records);
   void suspend(const std::string& reason);
   void resume(const MetaRecord& meta);
   [[nodiscard]] Evidence current_evidence(const NodeMemory& memory) const;
--- a/src/recovery/serving_mode.cpp
+++ b/src/recovery/serving_mode.cpp
@@ -1,5 +1,6 @@
 #include "recovery/serving_mode.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "recovery/doubt.hpp"
@@ -10,7 +11,7 @@
 // The node may call the detector at any point and must not be destroyed during that call. Therefore `on_loss`
 // is called from a timer, which is dropped if this object has been destroyed.
 ServingMode::ServingMode(Env& env, const Settings& settings, const Options& options, LossHandler on_loss)
-    : detector_(options.incarnation.token_offset,
+    : detector_(std::max(options.newest_revision, options.incarnation.token_offset),
                 [this, on_loss = std::move(on_loss)](const std::string& reason) {
                   env_.after(0, [on_loss, reason] { on_loss(reason); });
                 }),
--- a/src/recovery/serving_mode.hpp
+++ b/src/recovery/serving_mode.hpp
@@ -20,6 +20,7 @@
   struct Options {
     Capabilities capabilities;
     Incarnation incarnation;                     // of the records that are served
+    std::uint64_t newest_revision = 0;           // newest one known before; 0 if none is
     std::map<std::string, JobStatus> terminals;  // terminal states known before, by job
     double stale_risk_s = 0;                     // how long the records may still prove stale (doubt.hpp)
   };
--- a/src/recovery/start_up.cpp
+++ b/src/recovery/start_up.cpp
@@ -86,7 +86,8 @@
 void StartUp::compare_with_store(std::uint64_t stored_revision) {
   const Incarnation incarnation = meta_ ? meta_->incarnation : Incarnation{};
   const std::uint64_t newest_known = std::max(reported().newest_revision, newest_peer_revision_);
-  const bool service_is_behind = newest_known > KeySpace(incarnation).to_logical_revision(stored_revision);
+  const std::uint64_t service_revision = KeySpace(incarnation).to_logical_revision(stored_revision);
+  const bool service_is_behind = newest_known > service_revision;
   // At the first start of a cluster the state service is empty too, but no worker has tasks then.
   const bool records_missing = !meta_ && !reported().jobs.empty();
   if (service_is_behind || records_missing)
@@ -94,8 +95,8 @@
     return report_loss("workers or controllers know of what the state service does not");
   // Without `meta` there are no records, so none of them can be stale.
   const double stale_risk_s = meta_ ? min_stale_risk_s_.value_or(kStaleRiskSeconds) : 0;
-  outer_env_.after(
-      0, [serve = handlers_.serve, incarnation, stale_risk_s] { serve(incarnation, stale_risk_s); });
+  const ServableRecords records{incarnation, service_revision, stale_risk_s};
+  outer_env_.after(0, [serve = handlers_.serve, records] { serve(records); });
 }
 
 void StartUp::report_loss(const std::string& reason) {
--- a/src/recovery/start_up.hpp
+++ b/src/recovery/start_up.hpp
@@ -4,6 +4,7 @@
 // Users and workers get the same answers as during a rebuild.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -17,13 +18,20 @@
 
 class StartUp final : public Mode {
  public:
+  // The records that this controller may serve.
+  struct ServableRecords {
+    Incarnation incarnation;
+    // The newest revision of the state service that this controller has learned while it started. The service
+    // has shown that it is not behind it.
+    std::uint64_t newest_revision = 0;
+    double stale_risk_s = 0;  // the records may prove to be stale for this long
+  };
   // Exactly one of these is called, once, when the mode ends. It is never called from within this object,
   // which may have been destroyed by then if another controller has requested evidence meanwhile.
   struct Handlers {
     // Records are lost or being rebuilt.
     std::function<void(const std::string& reason)> suspend;
-    // The records of this incarnation may be served. They may prove to be stale for another `stale_risk_s`.
-    std::function<void(const Incarnation& incarnation, double stale_risk_s)> serve;
+    std::function<void(const ServableRecords& records)> serve;
   };
   StartUp(Env& env, const Settings& settings, Handlers handlers);
 
--- a/tests/recovery_answers_test.cpp
+++ b/tests/recovery_answers_test.cpp
@@ -23,6 +23,14 @@
   for (int node = 0; node < world.options.nodes; node++) world.nodes.crash(node, kRestartSeconds);
 }
 
+// Runs the action once the node serves again after a restart that has begun.
+void run_when_serving(World& world, int node, const std::function<void()>& action) {
+  constexpr double kCheckIntervalSeconds = 0.001;
+  const auto& process = world.nodes[static_cast<std::size_t>(node)];
+  if (process.node != nullptr && process.node->serving()) return action();
+  world.in(kCheckIntervalSeconds, [&world, node, action] { run_when_serving(world, node, action); });
+}
+
 // A job is accepted by a controller that does not own its shard, and its record is lost before another
 // controller learns the revision of the acceptance. `ask` asks the accepting controller, which passes the
 // question on to the owner.
@@ -133,6 +141,46 @@
   });
 }
 
+// A controller that had just started had compared the service with what its peers knew, but then forgot what
+// they knew. If records were lost right after that, it took them for current, and when the others were gone
+// it answered from them.
+TEST_P(StateLoss, EarlierCopyIsRestoredWhenARestartedControllerBeginsToServe) {
+  constexpr double kCopiedAt = 29;
+  constexpr double kSubmitAt = 30;
+  constexpr double kRestartAt = 60;
+  constexpr double kOthersDownSeconds = 30;
+  constexpr int kPolls = 100;
+  constexpr double kPollIntervalSeconds = 0.3;
+  World world(without_message_loss(options()));
+  submit_first_job(world, 2);
+  const auto copy = std::make_shared<StateService::Snapshot>();
+  world.at(kCopiedAt, [&world, copy] { *copy = world.state.snapshot(); });
+  JobOfOneOwner job;
+  world.at(kSubmitAt, [&world, &job] {
+    job = add_job_of_other_owner(world, 4000, 2);
+    world.users.submit_to_node(
+        job.ref, job.owner, [&world, &job] { world.users.poll_node_until_ended(job.ref, job.owner, [] {}); });
+  });
+  world.at(kRestartAt, [&world, &job, copy] {
+    EXPECT_TRUE(world.jobs.at(job.ref).user_saw_done) << "The job must have ended.";
+    const int restarted_node = job.accepting_node;
+    world.nodes.crash(restarted_node, 1);
+    run_when_serving(world, restarted_node, [&world, &job, copy, restarted_node] {
+      world.state.restore(*copy);
+      for (int node = 0; node < world.options.nodes; node++) {
+        if (node != restarted_node) world.nodes.crash(node, kOthersDownSeconds);
+      }
+      for (int poll = 0; poll < kPolls; poll++)
+        world.in(poll * kPollIntervalSeconds,
+                 [&world, &job, restarted_node] { world.users.poll_node(job.ref, restarted_node); });
+    });
+  });
+
+  run_with_operator(world, kRestartAt + kOthersDownSeconds + kOperatorDelaySeconds, 300, 2);
+
+  expect_started_once(world, job.ref);
+}
+
 // The user asks the owner itself, which cannot know yet that a newer revision was seen by the controller that
 // accepted the job.
 TEST(StateLossOpen, AcceptedJobIsLostBeforeItsOwnerLearnsTheRevision) {
