The list of unaccounted jobs is not read from restored records

Right after a restore an operator who asked for the unaccounted jobs was shown one that had been decided about.

The list has a client of the state service of its own, which compared no revisions.

Change: it has the node's monitor, so the list is refused (503) if the answer shows the loss, and the loss is noticed by it.

--- a/src/recovery/serving_mode.cpp
+++ b/src/recovery/serving_mode.cpp
@@ -17,7 +17,7 @@
                 }),
       env_(env),
       node_(env_, settings, options.capabilities, options.incarnation, &detector_),
-      unaccounted_(env_, settings, options.incarnation, node_) {
+      unaccounted_(env_, settings, options.incarnation, detector_, node_) {
   for (const auto& [ref, status] : options.terminals) node_.cache_terminal(ref, status);
   const double suspension_s = decision_suspension_s(settings, options.stale_risk_s);
   if (suspension_s > 0) node_.suspend_decisions(suspension_s);
--- a/src/recovery/unaccounted_jobs.cpp
+++ b/src/recovery/unaccounted_jobs.cpp
@@ -33,8 +33,8 @@
 }  // namespace
 
 UnaccountedJobs::UnaccountedJobs(Env& env, const Settings& settings, const Incarnation& incarnation,
-                                 Node& node)
-    : env_(env), store_(env, settings, incarnation), node_(node) {
+                                 StateMonitor& monitor, Node& node)
+    : env_(env), store_(env, settings, incarnation, &monitor), node_(node) {
   store_.set_share(kMaxStateServiceShare);
 }
 
--- a/src/recovery/unaccounted_jobs.hpp
+++ b/src/recovery/unaccounted_jobs.hpp
@@ -13,9 +13,11 @@
 
 class UnaccountedJobs {
  public:
-  UnaccountedJobs(Env& env, const Settings& settings, const Incarnation& incarnation, Node& node);
+  // `monitor` and `node` must outlive this object.
+  UnaccountedJobs(Env& env, const Settings& settings, const Incarnation& incarnation, StateMonitor& monitor,
+                  Node& node);
 
-  // Answers with an UnaccountedList, or 503 if the state service cannot be read.
+  // Answers with an UnaccountedList, or 503 if the state service cannot be read or has lost records.
   void list(const Responder& responder);
   // `body` is a Decision. Answers 202 once the owner of the job's shard has started to carry it out; the job
   // leaves the list when the result is durable. Answers 404 if the job is not unaccounted, 400 if the body is
--- a/tests/recovery_answers_test.cpp
+++ b/tests/recovery_answers_test.cpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "bookkeeping/records.hpp"
 #include "sim/checks.hpp"
 #include "sim/days.hpp"
 #include "sim/state_loss.hpp"
@@ -23,6 +24,11 @@
   for (int node = 0; node < world.options.nodes; node++) world.nodes.crash(node, kRestartSeconds);
 }
 
+void commit_change(World& world, const Json& change) {
+  const Json transaction = {{"guards", Json::array()}, {"then", Json::array({change})}};
+  world.state.handle("POST", "/commit", dump_json(transaction), [](int, const Json&) {});
+}
+
 // Runs the action once the node serves again after a restart that has begun.
 void run_when_serving(World& world, int node, const std::function<void()>& action) {
   constexpr double kCheckIntervalSeconds = 0.001;
@@ -141,6 +147,30 @@
   });
 }
 
+// The list of unaccounted jobs was read without looking for lost records, so an operator could be shown, and
+// asked to decide about, jobs that had been decided about before.
+TEST_P(StateLoss, OperatorIsNotShownRestoredRecords) {
+  constexpr double kRecordedAt = 20;
+  constexpr double kDecidedAt = 25;
+  constexpr double kLossAt = 40;
+  const std::string key = "u/0/job-009000";
+  const Json record = UnaccountedRecord{true, {}, true, false, "its description is lost", "", ""}.to_json();
+  World world(without_message_loss(options()));
+  submit_jobs(world, 2, 35);
+  world.at(kRecordedAt, [&world, key, record] { commit_change(world, {{"put", key}, {"data", record}}); });
+  restore_earlier_copy(world, (kRecordedAt + kDecidedAt) / 2, kLossAt);
+  world.at(kDecidedAt, [&world, key] { commit_change(world, {{"delete", key}}); });
+  int status = 0;
+  world.at(kLossAt, [&world, &status] {
+    const HttpCall call{peer_address_of(0), "GET", "/ops/recovery/unaccounted", "", 2.0};
+    world.network.send("operator", call, [&status](const HttpReply& reply) { status = reply.status; });
+  });
+
+  world.run_until(kLossAt + 5);
+
+  EXPECT_EQ(status, 503);
+}
+
 // A controller that had just started had compared the service with what its peers knew, but then forgot what
 // they knew. If records were lost right after that, it took them for current, and when the others were gone
 // it answered from them.
