A key that a query would change is read by itself

In a query, "&" or "+" in a name would have named another key, and the split of that team's limit would have counted as missing. Such keys are read by themselves and then the revision, as those are whose lease is needed.

--- a/src/coordination/state/state_client.cpp
+++ b/src/coordination/state/state_client.cpp
@@ -3,8 +3,11 @@
 #include <spdlog/fmt/ranges.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+#include <cctype>
 #include <iterator>
 #include <memory>
+#include <string_view>
 #include <utility>
 
 #include "bookkeeping/records.hpp"
@@ -18,6 +21,15 @@
 constexpr const char* kMaxItemsPerPage = "500";  // records per page of a list
 constexpr int kTooManyRequestsStatus = 429;
 constexpr int kUnavailableStatus = 503;
+
+// Returns whether the key means itself in a query. (Names of teams are part of keys, and may be any text.)
+bool is_plain_in_query(const std::string& key) {
+  constexpr std::string_view kPlainPunctuation = "-._~/@";
+  return std::all_of(key.begin(), key.end(), [kPlainPunctuation](unsigned char character) {
+    return std::isalnum(character) != 0 ||
+           kPlainPunctuation.find(static_cast<char>(character)) != std::string_view::npos;
+  });
+}
 }  // namespace
 
 StateClient::StateClient(Env& env, const Settings& settings, Incarnation incarnation, StateMonitor* monitor)
@@ -114,7 +126,8 @@
 // The service does not say at which revision it read a single key that exists. A list says it, and the first
 // key with a prefix is the prefix itself if that key exists.
 void StateClient::get(RequestPriority priority, const std::string& key, StateHandler handler) {
-  if (monitor_ == nullptr) return get_key(priority, key, std::move(handler));
+  if (monitor_ == nullptr || !is_plain_in_query(key))
+    return get_with_lease(priority, key, std::move(handler));
   const std::string path = "/keys?prefix=" + key_space_.stored_key(key) + "&most=1";
   submit(
       priority, {"", "GET", path, "", kCallTimeoutSeconds}, 0,
--- a/tests/state_client_test.cpp
+++ b/tests/state_client_test.cpp
@@ -203,6 +203,18 @@
   EXPECT_EQ(reply_.lease_id(), 3u);
 }
 
+// A team may have any name, and its name is part of a key.
+TEST_F(Reads, AKeyThatAQueryWouldChangeIsReadByItselfAndThenTheRevision) {
+  for (const std::string key : {"w/q/a&b", "w/q/a+b", "w/q/a%20b", "w/q/a#b"}) {
+    state_.get(RequestPriority::kOther, key, keep_reply());
+    answer_read_of(key, kNewestRevision);
+    ASSERT_EQ(env_.calls.size(), 1u);
+    EXPECT_EQ(env_.calls.front().request.path, "/keys/none");
+    answer_read_of(kMissingKey, kNewestRevision);
+    EXPECT_TRUE(reply_.has_data()) << key;
+  }
+}
+
 // Nothing changes for controllers that do not look for lost records.
 TEST(ReadsWithoutMonitor, ARecordIsReadByItsKey) {
   const Settings settings = scripted_settings();
