--- a/src/coordination/node/job_status.cpp
+++ b/src/coordination/node/job_status.cpp
@@ -139,8 +139,7 @@
     read_job_record(ref);
     return;
   }
-  const auto record =
-      reply.ok() ? UnaccountedRecord::from_json(reply.body.value("data", Json())) : std::nullopt;
+  const auto record = reply.ok() ? UnaccountedRecord::from_json(reply.data()) : std::nullopt;
   if (!record || record->withholds_status()) {
     finish_read(ref, finding(JobFinding::Kind::kUndecided));
   } else if (record->all_held) {
@@ -161,10 +160,10 @@
   if (reply.outcome == Outcome::kMissing) {
     const int shard = shard_of(ref, ctx_.shard_count());
     read_ending(ref, ctx_.state->key_space().ending_keys(shard, ref), 0);
-  } else if (!reply.ok() || !reply.body.contains("data")) {
+  } else if (!reply.has_data()) {
     finish_read(ref, finding(JobFinding::Kind::kUndecided));
   } else {
-    finish_read(ref, finding_of_job_record(reply.body["data"]));
+    finish_read(ref, finding_of_job_record(reply.data()));
   }
 }
 
@@ -178,8 +177,7 @@
     if (reply.outcome == Outcome::kMissing) {
       read_ending(ref, keys, next + 1);
     } else {
-      const Json ending = reply.ok() ? reply.body.value("data", Json()) : Json();
-      finish_read(ref, finding_of_ending(ending));
+      finish_read(ref, reply.ok() ? finding_of_ending(reply.data()) : finding(JobFinding::Kind::kUndecided));
     }
   };
   ctx_.state->get(RequestPriority::kAccept, key, handler);
--- a/src/coordination/node/machine_type_catalog.cpp
+++ b/src/coordination/node/machine_type_catalog.cpp
@@ -82,8 +82,8 @@
 void MachineTypeCatalog::load() {
   state_.get(RequestPriority::kLease, keys::kTypes, [this](const StateReply& reply) {
     if (has_types()) return;
-    if (reply.ok() && reply.body.contains("data")) {
-      if (auto types = MachineTypes::parse(reply.body["data"])) {
+    if (reply.has_data()) {
+      if (auto types = MachineTypes::parse(reply.data())) {
         set_types(std::move(*types), false);
         return;
       }
--- a/src/coordination/shard/cancellation.cpp
+++ b/src/coordination/shard/cancellation.cpp
@@ -155,7 +155,7 @@
   ctx_.state->get(RequestPriority::kCancel, keys::shard_owner(shard),
                   callback_guard_([this, job, shard, acknowledging_token](const StateReply& reply) {
                     job->asked_shards.erase(shard);
-                    const auto owner_token = reply.ok() ? reply.body.value("stamp", std::uint64_t{0}) : 0;
+                    const auto owner_token = reply.ok() ? reply.item_revision() : 0;
                     const bool is_acknowledged =
                         reply.outcome == Outcome::kMissing ||
                         (reply.ok() && (owner_token > job->job_revision ||
--- a/src/coordination/shard/quota_shares.cpp
+++ b/src/coordination/shard/quota_shares.cpp
@@ -211,9 +211,9 @@
 void QuotaShares::reload_team(int team) {
   ctx_.state->get(RequestPriority::kOther, keys::quota_split(team),
                   callback_guard_([this, team](const StateReply& reply) {
-                    if (reply.ok() && reply.body.contains("data")) {
+                    if (reply.has_data()) {
                       transferring_teams_.erase(team);
-                      read_split(team, reply.body["data"], reply.body.value("stamp", std::uint64_t{0}));
+                      read_split(team, reply.data(), reply.item_revision());
                     } else if (reply.outcome == Outcome::kMissing) {
                       transferring_teams_.erase(team);
                       set_split(team, even_split(team), 0);
--- a/src/coordination/shard/record_committer.cpp
+++ b/src/coordination/shard/record_committer.cpp
@@ -188,14 +188,14 @@
         if (reply.outcome == Outcome::kMissing) {
           return effect.data ? find_revision(write, effect_index + 1, revision) : settle(*write, revision);
         }
-        if (!reply.ok() || !reply.body.contains("data")) {
+        if (!reply.has_data()) {
           ctx_.env->after(0.3, callback_guard_([this, write, effect_index, revision] {
                             find_revision(write, effect_index, revision);
                           }));
           return;
         }
-        if (!is_delegation(effect.key) || (effect.data && reply.body["data"] == *effect.data)) {
-          return settle(*write, reply.body.value("stamp", std::uint64_t{0}));
+        if (!is_delegation(effect.key) || (effect.data && reply.data() == *effect.data)) {
+          return settle(*write, reply.item_revision());
         }
         ctx_.restart_shard(
             "a delegation record was changed while the outcome of a write to it was unknown: " + effect.key);
--- a/src/recovery/record_writer.cpp
+++ b/src/recovery/record_writer.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "recovery/state_answer.hpp"
-
 namespace mothslip::recovery {
 
 namespace {
@@ -94,7 +92,7 @@
   store_.get(RequestPriority::kLaunch, key_space_.stored_key(batch.front().key),
              [this, batch, body](const StateReply& reply) {
                if (reply.ok()) {
-                 on_batch_written(batch, stored_revision(reply));
+                 on_batch_written(batch, reply.item_revision());
                } else if (reply.outcome == Outcome::kMissing) {
                  handler_(false);
                } else {
--- a/src/recovery/recovery.cpp
+++ b/src/recovery/recovery.cpp
@@ -55,7 +55,7 @@
           "recovery: the record meta has a format that this version does not know; reading it again");
     return read_meta_later();
   }
-  const std::uint64_t revision = stored_revision(reply);
+  const std::uint64_t revision = reply.item_revision();
   target_incarnation_ = std::max(target_incarnation_, meta->target_incarnation);
   if (meta->is_rebuilding()) return check_for_leader(*meta, revision);
   const int published = meta->incarnation.number;
@@ -76,7 +76,7 @@
 
 void Recovery::claim(const MetaRecord& meta, std::uint64_t meta_revision) {
   store_.lease_create(Ownership::kLeaseSeconds, [this, meta, meta_revision](const StateReply& reply) {
-    const std::uint64_t lease = created_lease(reply);
+    const std::uint64_t lease = reply.ok() ? reply.lease_id() : 0;
     if (lease == 0) return read_meta_later();
     claim_with_lease(lease, meta, meta_revision);
   });
