--- a/review/harness-2/stage.cpp
+++ b/review/harness-2/stage.cpp
@@ -220,9 +220,13 @@
         }
         HttpCall call{real(sim::peer_address_of(to)), request.method, target_of(request), request.body,
                       kForwardTimeoutSeconds};
-        env_.call(std::move(call), [this, from, to, responder](const HttpReply& reply) {
+        const double sent_at = env_.now();
+        env_.call(std::move(call), [this, from, to, sent_at, responder](const HttpReply& reply) {
           const bool is_cut = cut_.count(from) > 0 || cut_.count(to) > 0;
-          if (reply.unanswered() || is_cut) {
+          const bool is_refused = reply.unanswered() && env_.now() - sent_at < 0.5;
+          if (is_refused && !is_cut) {
+            responder.send(503, R"({"error":"connection refused"})");
+          } else if (reply.unanswered() || is_cut) {
             unanswered_.push_back(responder);
           } else {
             responder.send(reply.status, reply.body);
