--- a/review/harness-2/stage.hpp
+++ b/review/harness-2/stage.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -26,10 +27,16 @@
   std::string phase;  // empty if the body has none
 };
 
+// The controllers took each other's shards at the start. The case can be tried again.
+struct NotReady : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
 class Stage {
  public:
   static constexpr int kNodes = 3;
-  // Starts the stand-ins and the controllers. `record` is the path of the record. Exits with 2 on failure.
+  // Starts the stand-ins and the controllers. `record` is the path of the record. Exits with 2 on failure,
+  // and throws NotReady if not every controller owns its home shard after a few seconds.
   explicit Stage(const std::string& record);
   ~Stage();
   Stage(const Stage&) = delete;
@@ -72,6 +79,9 @@
   // Stops (SIGSTOP) and continues a controller.
   void stop_node(int node);
   void continue_node(int node);
+  // Kills a controller (SIGKILL), and starts it again.
+  void kill_node(int node);
+  void restart_node(int node) { start_node(node); }
   // While a controller is cut off, nothing passes between it and the state service and the other controllers.
   // Its workers and users still reach it.
   void cut(int node);
@@ -91,6 +101,8 @@
   [[nodiscard]] std::string state_address(int node) const;
   [[nodiscard]] std::string link_address(int from, int to) const;
   void check_processes();
+  // Ends the controllers and completes the record.
+  void end();
 
   mothslip::EventEnv env_;
   FILE* record_ = nullptr;
@@ -109,7 +121,10 @@
   int next_ref_ = 100;
 };
 
-// The value of TROUBLE: false if it is 0.
+// Whether the environment variable TROUBLE asks for any disruption: not if it is 0.
 bool has_trouble();
+// Whether it asks for this one. By default it asks for all; it may name a single one, to see its effect
+// alone.
+bool has_trouble(const std::string& name);
 
 }  // namespace review
