--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -21,7 +21,7 @@
 done
 for pid in "${pids[@]}"; do wait "$pid"; done
 pids=()
-for source in review/[4-8]/case.cpp; do
+for source in review/[4-8]/scenario.cpp; do
   [ -f "$source" ] || continue
   number="$(basename "$(dirname "$source")")"
   g++ $flags "$source" "${objects[@]}" -o "$out/case-$number" target/libmothslip_recovery.a \
